--- /dev/null
+++ b/cmd/jackdawstub/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/hop/hop.go
@@ -0,0 +1,113 @@
+// Package hop defines the headers between entry and guard and the outcomes that callers see.
+package hop
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"strings"
+)
+
+// HeaderPrefix starts every header of the project. Headers with this prefix
+// that come from callers or backend servers are dropped.
+const HeaderPrefix = "Jackdawlane-"
+
+// Request headers from entry to guard.
+const (
+	HeaderAttempt        = "Jackdawlane-Attempt"
+	HeaderBackendServer  = "Jackdawlane-Backend-Server"
+	HeaderService        = "Jackdawlane-Service"
+	HeaderOrganisation   = "Jackdawlane-Organisation"
+	HeaderRoute          = "Jackdawlane-Route"
+	HeaderIdempotent     = "Jackdawlane-Idempotent"
+	HeaderTimeoutMS      = "Jackdawlane-Timeout-Ms"
+	HeaderForce          = "Jackdawlane-Force"
+	HeaderConfigVersion  = "Jackdawlane-Config-Version"
+	HeaderIdempotencyKey = "Jackdawlane-Idempotency-Key"
+)
+
+// Reply headers. Outcome and Reason also reach the caller.
+const (
+	HeaderOutcome          = "Jackdawlane-Outcome"
+	HeaderReason           = "Jackdawlane-Reason"
+	HeaderGuardIncarnation = "Jackdawlane-Guard-Incarnation"
+	HeaderLoad             = "Jackdawlane-Load"
+	HeaderHealth           = "Jackdawlane-Health"
+)
+
+// Outcome is what a caller may conclude from a reply.
+type Outcome string
+
+// The outcomes. There are no others.
+const (
+	// OutcomeAnswer marks the backend server's whole response.
+	OutcomeAnswer Outcome = "answer"
+	// OutcomeNotRun marks work that did not run and is safe to send again.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown marks work that may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Reason says why work did not run or is unknown.
+type Reason string
+
+// Reasons of the outcomes not-run and unknown.
+const (
+	ReasonNoCredential   Reason = "no-credential"
+	ReasonNoRoute        Reason = "no-route"
+	ReasonNoPool         Reason = "no-pool"
+	ReasonNoBackend      Reason = "no-backend-server"
+	ReasonFull           Reason = "full"
+	ReasonSuspect        Reason = "suspect"
+	ReasonEjected        Reason = "ejected"
+	ReasonLeaving        Reason = "leaving"
+	ReasonStopping       Reason = "stopping"
+	ReasonTimeout        Reason = "timeout"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonUnreachable    Reason = "unreachable"
+	ReasonBadRequest     Reason = "bad-request"
+	ReasonDuplicate      Reason = "duplicate-attempt"
+	ReasonAnswerLost     Reason = "answer-lost"
+	ReasonRetryBudget    Reason = "retry-budget"
+	ReasonBodyTooLarge   Reason = "body-too-large"
+	ReasonNotConfigured  Reason = "not-configured"
+	ReasonGuardRestarted Reason = "guard-restarted"
+)
+
+// attemptIDBytes makes attempt IDs unguessable and free of collisions.
+const attemptIDBytes = 16
+
+// NewAttemptID returns a random attempt ID in hex.
+func NewAttemptID() string {
+	var b [attemptIDBytes]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// DropProjectHeaders removes every header of the project from h.
+func DropProjectHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, HeaderPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// hopByHop lists the headers that concern one connection only (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Transfer-Encoding", "Upgrade",
+}
+
+// DropHopByHop removes the headers that concern one connection only,
+// including those that Connection names.
+func DropHopByHop(h http.Header) {
+	for _, value := range h.Values("Connection") {
+		for _, name := range strings.Split(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,163 @@
+// Package route holds the routes of the fleet and matches requests to them.
+package route
+
+import (
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits on a route's fields.
+const (
+	MaxNameLength  = 128
+	MinTimeout     = time.Millisecond
+	MaxTimeout     = time.Hour
+	DefaultTimeout = 30 * time.Second
+)
+
+// ErrInvalid marks a route whose fields break a rule.
+var ErrInvalid = errors.New("invalid route")
+
+// namePattern excludes '/', which separates organisation and name in a row key.
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
+
+// Route says which requests of an organisation go to which pool.
+type Route struct {
+	// Name is unique within the organisation.
+	Name string `json:"name"`
+	// Organisation owns the route; no other organisation can use or see it.
+	Organisation string `json:"organisation"`
+	// Host is the request's host without port; empty matches every host.
+	Host string `json:"host,omitempty"`
+	// PathPrefix matches whole path segments; "/" matches every path.
+	PathPrefix string `json:"path_prefix"`
+	// Methods lists the matching methods; empty matches every method.
+	Methods []string `json:"methods,omitempty"`
+	// Pool names the pool that serves the requests.
+	Pool string `json:"pool"`
+	// Idempotent is true when the work may run more than once.
+	Idempotent bool `json:"idempotent"`
+	// TimeoutMS is the time a request may take, in milliseconds; 0 means DefaultTimeout.
+	TimeoutMS int64 `json:"timeout_ms,omitempty"`
+}
+
+// Key returns the row key of the route: organisation and name.
+func (r Route) Key() string { return r.Organisation + "/" + r.Name }
+
+// Timeout returns the time a request of the route may take.
+func (r Route) Timeout() time.Duration {
+	if r.TimeoutMS == 0 {
+		return DefaultTimeout
+	}
+	return time.Duration(r.TimeoutMS) * time.Millisecond
+}
+
+// Validate returns ErrInvalid with the first field that breaks a rule.
+func (r Route) Validate() error {
+	if !ValidName(r.Name) {
+		return errors.Wrapf(ErrInvalid, "name %q: want lower-case letters, digits, '.', '_' or '-', at most %d", r.Name, MaxNameLength)
+	}
+	if !ValidName(r.Organisation) {
+		return errors.Wrapf(ErrInvalid, "route %s: organisation %q is not a valid name", r.Name, r.Organisation)
+	}
+	if !ValidName(r.Pool) {
+		return errors.Wrapf(ErrInvalid, "route %s: pool %q is not a valid name", r.Name, r.Pool)
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		return errors.Wrapf(ErrInvalid, "route %s: path_prefix %q does not start with '/'", r.Name, r.PathPrefix)
+	}
+	if strings.ContainsAny(r.Host, ":/ ") || strings.ToLower(r.Host) != r.Host {
+		return errors.Wrapf(ErrInvalid, "route %s: host %q: want a lower-case host name without port", r.Name, r.Host)
+	}
+	for _, method := range r.Methods {
+		if method == "" || strings.ToUpper(method) != method {
+			return errors.Wrapf(ErrInvalid, "route %s: method %q is not upper case", r.Name, method)
+		}
+	}
+	if r.TimeoutMS != 0 && (r.Timeout() < MinTimeout || r.Timeout() > MaxTimeout) {
+		return errors.Wrapf(ErrInvalid, "route %s: timeout_ms %d is outside %s to %s", r.Name, r.TimeoutMS, MinTimeout, MaxTimeout)
+	}
+	return nil
+}
+
+// ValidName reports whether s may name a route, pool, service or organisation.
+func ValidName(s string) bool {
+	return len(s) <= MaxNameLength && namePattern.MatchString(s)
+}
+
+// Matcher finds the route of a request. It is immutable.
+type Matcher struct {
+	byOrganisation map[string][]Route
+}
+
+// NewMatcher returns a matcher over routes, which it copies.
+func NewMatcher(routes []Route) *Matcher {
+	m := &Matcher{byOrganisation: make(map[string][]Route)}
+	for _, r := range routes {
+		m.byOrganisation[r.Organisation] = append(m.byOrganisation[r.Organisation], r)
+	}
+	for _, rs := range m.byOrganisation {
+		slices.SortStableFunc(rs, compareSpecificity)
+	}
+	return m
+}
+
+// compareSpecificity orders a route with a host first, then the longest prefix,
+// then a route with methods, then by name.
+func compareSpecificity(a, b Route) int {
+	if (a.Host != "") != (b.Host != "") {
+		if a.Host != "" {
+			return -1
+		}
+		return 1
+	}
+	if len(a.PathPrefix) != len(b.PathPrefix) {
+		return len(b.PathPrefix) - len(a.PathPrefix)
+	}
+	if (len(a.Methods) > 0) != (len(b.Methods) > 0) {
+		if len(a.Methods) > 0 {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// Match returns the most specific route of the organisation for a request.
+// Host may carry a port.
+func (m *Matcher) Match(organisation, host, method, path string) (Route, bool) {
+	host = hostWithoutPort(host)
+	for _, r := range m.byOrganisation[organisation] {
+		if r.matches(host, method, path) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+func (r Route) matches(host, method, path string) bool {
+	if r.Host != "" && r.Host != host {
+		return false
+	}
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
+		return false
+	}
+	prefix := strings.TrimSuffix(r.PathPrefix, "/")
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	rest := path[len(prefix):]
+	return rest == "" || rest[0] == '/'
+}
+
+func hostWithoutPort(hostport string) string {
+	if ap, err := netip.ParseAddrPort(hostport); err == nil {
+		return ap.Addr().String()
+	}
+	host, _, _ := strings.Cut(hostport, ":")
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/settings/field.go
@@ -0,0 +1,182 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+
+	"github.com/jackdawlane/jackdawlane/route"
+)
+
+// field is one key of the settings file.
+type field struct {
+	section, key string
+	// fallback is the text used when the key is absent; with required set there is none.
+	fallback string
+	required bool
+	// allowed describes the permitted values in an error message.
+	allowed string
+	parse   func(text string) error
+}
+
+func (f field) load(path string, file *ini.File) error {
+	text := f.fallback
+	if section, err := file.GetSection(f.section); err == nil && section.HasKey(f.key) {
+		text = section.Key(f.key).String()
+	} else if f.required {
+		return errors.Wrapf(ErrInvalid, "%s: [%s] %s is missing; want %s", path, f.section, f.key, f.allowed)
+	}
+	if err := f.parse(text); err != nil {
+		return errors.Wrapf(ErrInvalid, "%s: [%s] %s = %q: want %s", path, f.section, f.key, text, f.allowed)
+	}
+	return nil
+}
+
+// errNotAllowed is replaced by the field's description of what is allowed.
+var errNotAllowed = errors.New("value is not allowed")
+
+func (s *Settings) fields() []field {
+	n := &s.Node
+	return []field{
+		nameField("node", "id", &n.ID),
+		nameField("node", "region", &n.Region),
+		nameField("node", "data_centre", &n.DataCentre),
+		addressField("node", "traffic_address", &n.TrafficAddress),
+		addressField("node", "hop_address", &n.HopAddress),
+		addressField("node", "control_address", &n.ControlAddress),
+		addressField("node", "announce_address", &n.AnnounceAddress),
+		addressField("node", "metrics_address", &n.MetricsAddress),
+		durationField("node", "stop_timeout", &n.StopTimeout, "20s", 100*time.Millisecond, 10*time.Minute),
+		addressField("store", "address", &s.Store.Address),
+		durationField("store", "timeout", &s.Store.Timeout, "2s", 10*time.Millisecond, time.Minute),
+		addressesField("peers", "seeds", &s.Peers.Seeds),
+		choiceField("log", "level", &s.Log.Level, "info", "debug", "info", "warn", "error"),
+		choiceField("log", "format", &s.Log.Format, "text", "text", "json"),
+		choiceField("trace", "exporter", &s.Trace.Exporter, "off", "off", "file", "otlp"),
+		textField("trace", "file", &s.Trace.File),
+		optionalAddressField("trace", "endpoint", &s.Trace.Endpoint),
+		ratioField("trace", "sample_ratio", &s.Trace.SampleRatio, "0.01"),
+		intField("limits", "max_header_bytes", &s.Limit.MaxHeaderBytes, "65536", 1024, 1<<20),
+		durationField("limits", "body_stall_timeout", &s.Limit.BodyStallTimeout, "10s", 100*time.Millisecond, time.Hour),
+		intField("limits", "answer_bytes", &s.Limit.AnswerBytes, "1048576", 1024, 16<<20),
+	}
+}
+
+func nameField(section, key string, target *string) field {
+	return field{section: section, key: key, required: true,
+		allowed: "lower-case letters, digits, '.', '_' or '-'",
+		parse: func(text string) error {
+			*target = text
+			if !route.ValidName(text) {
+				return errNotAllowed
+			}
+			return nil
+		}}
+}
+
+func textField(section, key string, target *string) field {
+	return field{section: section, key: key, allowed: "text",
+		parse: func(text string) error {
+			*target = text
+			return nil
+		}}
+}
+
+const addressAllowed = "an IP number and port, such as 127.0.0.1:7000"
+
+func addressField(section, key string, target *netip.AddrPort) field {
+	return field{section: section, key: key, required: true, allowed: addressAllowed,
+		parse: func(text string) error { return parseAddress(text, target) }}
+}
+
+func optionalAddressField(section, key string, target *netip.AddrPort) field {
+	return field{section: section, key: key, allowed: addressAllowed,
+		parse: func(text string) error {
+			if text == "" {
+				return nil
+			}
+			return parseAddress(text, target)
+		}}
+}
+
+func addressesField(section, key string, target *[]netip.AddrPort) field {
+	return field{section: section, key: key, allowed: "IP numbers and ports, separated by commas",
+		parse: func(text string) error {
+			for part := range strings.SplitSeq(text, ",") {
+				part = strings.TrimSpace(part)
+				if part == "" {
+					continue
+				}
+				var address netip.AddrPort
+				if err := parseAddress(part, &address); err != nil {
+					return err
+				}
+				*target = append(*target, address)
+			}
+			return nil
+		}}
+}
+
+func parseAddress(text string, target *netip.AddrPort) error {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 {
+		return errNotAllowed
+	}
+	*target = address
+	return nil
+}
+
+func durationField(section, key string, target *time.Duration, fallback string, low, high time.Duration) field {
+	return field{section: section, key: key, fallback: fallback,
+		allowed: fmt.Sprintf("a duration with a unit, from %s to %s", low, high),
+		parse: func(text string) error {
+			d, err := time.ParseDuration(text)
+			if err != nil || d < low || d > high {
+				return errNotAllowed
+			}
+			*target = d
+			return nil
+		}}
+}
+
+func intField(section, key string, target *int, fallback string, low, high int) field {
+	return field{section: section, key: key, fallback: fallback,
+		allowed: fmt.Sprintf("a whole number from %d to %d", low, high),
+		parse: func(text string) error {
+			n, err := strconv.Atoi(text)
+			if err != nil || n < low || n > high {
+				return errNotAllowed
+			}
+			*target = n
+			return nil
+		}}
+}
+
+func ratioField(section, key string, target *float64, fallback string) field {
+	return field{section: section, key: key, fallback: fallback, allowed: "a number from 0 to 1",
+		parse: func(text string) error {
+			ratio, err := strconv.ParseFloat(text, 64)
+			if err != nil || !(ratio >= 0 && ratio <= 1) {
+				return errNotAllowed
+			}
+			*target = ratio
+			return nil
+		}}
+}
+
+func choiceField(section, key string, target *string, fallback string, choices ...string) field {
+	return field{section: section, key: key, fallback: fallback, allowed: "one of " + strings.Join(choices, ", "),
+		parse: func(text string) error {
+			*target = text
+			if !slices.Contains(choices, text) {
+				return errNotAllowed
+			}
+			return nil
+		}}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/settings"
+)
+
+const valid = `[node]
+id = n1
+region = doto
+data_centre = doto-1
+traffic_address = 127.0.0.1:7001
+hop_address = 127.0.0.1:7002
+control_address = 127.0.0.1:7003
+announce_address = 127.0.0.1:7004
+metrics_address = 127.0.0.1:7005
+[store]
+address = 127.0.0.1:7000
+timeout = 2s
+`
+
+func load(t *testing.T, text string) (settings.Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.ini")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return settings.Load(path)
+}
+
+func TestLoadAcceptsValidFile(t *testing.T) {
+	for _, text := range []string{valid, "\ufeff" + valid} {
+		s, err := load(t, text)
+		assert.NilError(t, err)
+		assert.Equal(t, s.Node.ID, "n1")
+		assert.Equal(t, s.Node.TrafficAddress.Port(), uint16(7001))
+	}
+}
+
+// A misspelt or wrong value that is accepted silently would run with a default that nobody chose.
+func TestLoadRefusesBadValues(t *testing.T) {
+	tests := []struct{ desc, old, new, want string }{
+		{"unknown key", "timeout = 2s", "timeuot = 2s", "[store] timeuot: unknown key"},
+		{"missing unit", "timeout = 2s", "timeout = 2", "a duration with a unit"},
+		{"out of range", "timeout = 2s", "timeout = 2h", "from 10ms to 1m0s"},
+		{"host name", "address = 127.0.0.1:7000", "address = localhost:7000", "an IP number and port"},
+		{"missing key", "id = n1\n", "", "[node] id is missing"},
+		{"same port twice", "127.0.0.1:7002", "127.0.0.1:7001", "used twice"},
+		{"unknown section", "[store]", "[sotre]", "unknown key"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			_, err := load(t, strings.Replace(valid, test.old, test.new, 1))
+			assert.ErrorIs(t, err, settings.ErrInvalid)
+			assert.ErrorContains(t, err, test.want)
+			assert.Assert(t, !strings.Contains(err.Error(), "\n"))
+		})
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add(valid)
+	f.Fuzz(func(t *testing.T, text string) {
+		_, _ = load(t, text)
+	})
+}
