Add traces, metrics and advertised addresses

Change: a handler that starts a span for each hop and links it by W3C trace context, counters by hop, outcome and reason in expvar form, and optional advertised addresses for a node behind an address translation or a test relay.

--- a/settings/field.go
+++ b/settings/field.go
@@ -52,6 +52,8 @@
 		addressField("node", "control_address", &n.ControlAddress),
 		addressField("node", "announce_address", &n.AnnounceAddress),
 		addressField("node", "metrics_address", &n.MetricsAddress),
+		optionalAddressField("node", "hop_advertise", &n.HopAdvertise),
+		optionalAddressField("node", "control_advertise", &n.ControlAdvertise),
 		durationField("node", "stop_timeout", &n.StopTimeout, "20s", 100*time.Millisecond, 10*time.Minute),
 		addressField("store", "address", &s.Store.Address),
 		durationField("store", "timeout", &s.Store.Timeout, "2s", 10*time.Millisecond, time.Minute),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,6 +39,10 @@
 	AnnounceAddress netip.AddrPort
 	// MetricsAddress serves expvar.
 	MetricsAddress netip.AddrPort
+	// HopAdvertise and ControlAdvertise are what other nodes call; they default
+	// to HopAddress and ControlAddress.
+	HopAdvertise     netip.AddrPort
+	ControlAdvertise netip.AddrPort
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 }
@@ -101,9 +105,20 @@
 			return Settings{}, err
 		}
 	}
+	s.setDefaults()
 	return s, s.checkTogether(path)
 }
 
+// setDefaults fills the fields whose default is another field.
+func (s *Settings) setDefaults() {
+	if !s.Node.HopAdvertise.IsValid() {
+		s.Node.HopAdvertise = s.Node.HopAddress
+	}
+	if !s.Node.ControlAdvertise.IsValid() {
+		s.Node.ControlAdvertise = s.Node.ControlAddress
+	}
+}
+
 // checkTogether checks the rules that concern more than one field.
 func (s *Settings) checkTogether(path string) error {
 	addresses := []netip.AddrPort{
--- /dev/null
+++ b/telemetry/handler.go
@@ -0,0 +1,76 @@
+package telemetry
+
+import (
+	"net/http"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/jackdawlane/jackdawlane/hop"
+)
+
+// traceContext carries the span of a request from hop to hop (W3C Trace Context).
+var traceContext = propagation.TraceContext{}
+
+// Handler wraps next with a span named name for each request, and counts outcomes in m.
+// The request that next sees carries the trace context of the new span, so a
+// handler that forwards the headers links the next hop to it.
+func (t *Tracing) Handler(name string, m *Metrics, next http.Handler) http.Handler {
+	tracer := t.provider.Tracer("jackdawlane")
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
+		r = r.WithContext(ctx)
+		traceContext.Inject(ctx, propagation.HeaderCarrier(r.Header))
+		recorder := &outcomeRecorder{ResponseWriter: w}
+		defer func() {
+			m.CountRequest(name, recorder.outcome, recorder.reason)
+			endSpan(span, recorder)
+		}()
+		next.ServeHTTP(recorder, r)
+	})
+}
+
+func endSpan(span trace.Span, recorder *outcomeRecorder) {
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.Int("http.response.status_code", recorder.status),
+			attribute.String("jackdawlane.outcome", recorder.outcome),
+			attribute.String("jackdawlane.reason", recorder.reason),
+		)
+		if recorder.outcome != string(hop.OutcomeAnswer) {
+			span.SetStatus(codes.Error, recorder.reason)
+		}
+	}
+	span.End()
+}
+
+// outcomeRecorder notes the outcome that a handler writes.
+type outcomeRecorder struct {
+	http.ResponseWriter
+	status          int
+	outcome, reason string
+}
+
+// WriteHeader notes status and outcome of a final response.
+func (r *outcomeRecorder) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		r.status = status
+		r.outcome = r.Header().Get(hop.HeaderOutcome)
+		r.reason = r.Header().Get(hop.HeaderReason)
+	}
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body and, on the first call, the header.
+func (r *outcomeRecorder) Write(p []byte) (int, error) {
+	if r.status == 0 {
+		r.WriteHeader(http.StatusOK)
+	}
+	return r.ResponseWriter.Write(p)
+}
+
+// Unwrap gives http.ResponseController access to the wrapped writer.
+func (r *outcomeRecorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
