--- a/route/route.go
+++ b/route/route.go
@@ -2,7 +2,6 @@
 package route
 
 import (
-	"net/netip"
 	"regexp"
 	"slices"
 	"strings"
@@ -88,76 +87,3 @@
 func ValidName(s string) bool {
 	return len(s) <= MaxNameLength && namePattern.MatchString(s)
 }
-
-// Matcher finds the route of a request. It is immutable.
-type Matcher struct {
-	byOrganisation map[string][]Route
-}
-
-// NewMatcher returns a matcher over routes, which it copies.
-func NewMatcher(routes []Route) *Matcher {
-	m := &Matcher{byOrganisation: make(map[string][]Route)}
-	for _, r := range routes {
-		m.byOrganisation[r.Organisation] = append(m.byOrganisation[r.Organisation], r)
-	}
-	for _, rs := range m.byOrganisation {
-		slices.SortStableFunc(rs, compareSpecificity)
-	}
-	return m
-}
-
-// compareSpecificity orders a route with a host first, then the longest prefix,
-// then a route with methods, then by name.
-func compareSpecificity(a, b Route) int {
-	if (a.Host != "") != (b.Host != "") {
-		if a.Host != "" {
-			return -1
-		}
-		return 1
-	}
-	if len(a.PathPrefix) != len(b.PathPrefix) {
-		return len(b.PathPrefix) - len(a.PathPrefix)
-	}
-	if (len(a.Methods) > 0) != (len(b.Methods) > 0) {
-		if len(a.Methods) > 0 {
-			return -1
-		}
-		return 1
-	}
-	return strings.Compare(a.Name, b.Name)
-}
-
-// Match returns the most specific route of the organisation for a request.
-// Host may carry a port.
-func (m *Matcher) Match(organisation, host, method, path string) (Route, bool) {
-	host = hostWithoutPort(host)
-	for _, r := range m.byOrganisation[organisation] {
-		if r.matches(host, method, path) {
-			return r, true
-		}
-	}
-	return Route{}, false
-}
-
-func (r Route) matches(host, method, path string) bool {
-	if r.Host != "" && r.Host != host {
-		return false
-	}
-	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
-		return false
-	}
-	prefix := strings.TrimSuffix(r.PathPrefix, "/")
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	rest := path[len(prefix):]
-	return rest == "" || rest[0] == '/'
-}
-
-func hostWithoutPort(hostport string) string {
-	if ap, err := netip.ParseAddrPort(hostport); err == nil {
-		return ap.Addr().String()
-	}
-	host, _, _ := strings.Cut(hostport, ":")
-	return strings.ToLower(host)
-}
