--- a/route/route.go
+++ b/route/route.go
@@ -3,7 +3,6 @@
 
 import (
 	"regexp"
-	"slices"
 	"strings"
 	"time"
 
