Add object store client, its stand-in, and the configuration path

An editor commits a change by conditional update of the head and recognises a change whose answer was lost by its ID. A follower takes heads and pages of any source; its version never decreases.

--- /dev/null
+++ b/config/follower_test.go
@@ -0,0 +1,128 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/jackdawlane/jackdawlane/objectstore"
+	"github.com/jackdawlane/jackdawlane/organisation"
+)
+
+// versionsInStore commits n versions and returns their encoded heads.
+func versionsInStore(t *testing.T, n int) (*fakeStore, [][]byte) {
+	t.Helper()
+	s := newFakeStore()
+	e := NewEditor(s, time.Now)
+	var heads [][]byte
+	for i := range n {
+		c := Change{ID: fmt.Sprint("c", i), Operator: "ann"}
+		for j := range 100 {
+			c.Upsert.Organisations = append(c.Upsert.Organisations, testOrganisation(fmt.Sprintf("o%03d", (i*37+j)%300)))
+		}
+		c.Upsert.Pools = append(c.Upsert.Pools, testPool("p", i+1))
+		_, err := e.Commit(t.Context(), c)
+		assert.NilError(t, err)
+		heads = append(heads, s.objects[HeadKey].Value)
+	}
+	return s, heads
+}
+
+// Stale, reordered and duplicated heads, and pages that arrive late, in part or damaged,
+// must never take a follower back or give a snapshot that mixes versions.
+func TestFollowerNeverGoesBack(t *testing.T) {
+	s, heads := versionsInStore(t, 12)
+	rapid.Check(t, func(t *rapid.T) {
+		f := NewFollower()
+		highest, last := uint64(0), uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "head") {
+				i := rapid.IntRange(0, len(heads)-1).Draw(t, "version")
+				accepted, err := f.OfferHead(heads[i])
+				assert.NilError(t, err)
+				assert.Equal(t, accepted, uint64(i+1) > highest)
+				highest = max(highest, uint64(i+1))
+			} else {
+				offerSome(t, f, s)
+			}
+			version := f.Snapshot().Version()
+			assert.Assert(t, version >= last && version <= highest)
+			last = version
+			checkSnapshot(t, f, heads)
+		}
+		for _, hash := range f.Lacking() {
+			assert.NilError(t, f.OfferPage(hash, s.objects[pageKey(hash)].Value))
+		}
+		assert.Equal(t, f.Snapshot().Version(), highest)
+		checkSnapshot(t, f, heads)
+	})
+}
+
+func offerSome(t *rapid.T, f *Follower, s *fakeStore) {
+	for _, hash := range f.Lacking() {
+		data := s.objects[pageKey(hash)].Value
+		switch rapid.IntRange(0, 3).Draw(t, "page") {
+		case 0:
+			assert.ErrorIs(t, f.OfferPage(hash, append([]byte(" "), data...)), ErrCorrupt)
+		case 1:
+		default:
+			assert.NilError(t, f.OfferPage(hash, data))
+		}
+	}
+}
+
+// checkSnapshot checks that the snapshot is one version and that its head and pages can be served.
+func checkSnapshot(t *rapid.T, f *Follower, heads [][]byte) {
+	version := f.Snapshot().Version()
+	if version == 0 {
+		assert.Assert(t, f.Head() == nil)
+		return
+	}
+	p, ok := f.Snapshot().Pool("p")
+	assert.Assert(t, ok)
+	assert.Equal(t, p.Floor, int(version))
+	assert.Equal(t, string(f.Head()), string(heads[version-1]))
+	head, err := DecodeHead(f.Head())
+	assert.NilError(t, err)
+	for hash := range head.pageSet() {
+		data, ok := f.Page(hash)
+		assert.Assert(t, ok)
+		assert.Equal(t, hashOf(data), hash)
+	}
+}
+
+// A follower that drops pages that are still used would load everything again with each change.
+func TestFollowerReusesPages(t *testing.T) {
+	s, _ := versionsInStore(t, 9)
+	f := NewFollower()
+	_, err := NewLoader(s).Load(t.Context(), f)
+	assert.NilError(t, err)
+	_, err = NewEditor(s, time.Now).Commit(t.Context(), Change{ID: "one", Operator: "ann",
+		Upsert: Upserts{Organisations: []organisation.Organisation{{Name: "o000", SecretSHA256: organisation.HashSecret("new")}}}})
+	assert.NilError(t, err)
+	data, _, err := NewLoader(s).Head(t.Context())
+	assert.NilError(t, err)
+	accepted, err := f.OfferHead(data)
+	assert.NilError(t, err)
+	assert.Assert(t, accepted)
+	assert.Equal(t, len(f.Lacking()), 1)
+	assert.Equal(t, f.Snapshot().Version(), uint64(9))
+	assert.NilError(t, NewLoader(s).Complete(t.Context(), f))
+	assert.Assert(t, f.Snapshot().Authenticate("o000", "new"))
+}
+
+// A damaged page in the store must not reach a snapshot.
+func TestLoaderRefusesDamagedPage(t *testing.T) {
+	s, _ := versionsInStore(t, 1)
+	f := NewFollower()
+	data, _, err := NewLoader(s).Head(t.Context())
+	assert.NilError(t, err)
+	_, err = f.OfferHead(data)
+	assert.NilError(t, err)
+	s.objects[pageKey(f.Lacking()[0])] = objectstore.Object{Value: []byte("[]")}
+	assert.ErrorIs(t, NewLoader(s).Complete(t.Context(), f), ErrCorrupt)
+	assert.Equal(t, f.Snapshot().Version(), uint64(0))
+}
--- /dev/null
+++ b/standin/cmd/objectstore.go
@@ -0,0 +1,57 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/jackdawlane/jackdawlane/standin/objectstore"
+)
+
+// defaultCallsPerSecond is about what the platform's store takes: 2,000 reads and several hundred writes.
+const defaultCallsPerSecond = 2500
+
+// headerTimeout ends connections that send no request.
+const headerTimeout = 10 * time.Second
+
+func newObjectStoreCommand() *cobra.Command {
+	var listen string
+	var callsPerSecond int
+	command := &cobra.Command{
+		Use:   "objectstore",
+		Short: "Serve the object store protocol from memory",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return serve(c, listen, objectstore.New(callsPerSecond))
+		},
+	}
+	command.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "IP number and port to listen on")
+	command.Flags().IntVar(&callsPerSecond, "calls-per-second", defaultCallsPerSecond, "rate limit; 0 means none")
+	return command
+}
+
+// serve serves a handler until the command's context ends, and prints the address that it listens on.
+func serve(c *cobra.Command, listen string, handler http.Handler) error {
+	address, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return errors.Wrap(err, "--listen wants an IP number and port")
+	}
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.OutOrStdout(), "listening on %s\n", listener.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(c.Context(), func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/cmd/objectstore_test.go
@@ -0,0 +1,42 @@
+package cmd_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/objectstore"
+	"github.com/jackdawlane/jackdawlane/standin/cmd"
+)
+
+// The scenarios read the address from the first line and end the stand-in by its context.
+func TestObjectStoreCommand(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	out, in := io.Pipe()
+	root := cmd.NewRootCommand()
+	root.SetOut(in)
+	root.SetArgs([]string{"objectstore", "--listen", "127.0.0.1:0"})
+	done := make(chan error, 1)
+	go func() { done <- root.ExecuteContext(ctx) }()
+	line, err := bufio.NewReader(out).ReadString('\n')
+	assert.NilError(t, err)
+	address := strings.TrimPrefix(strings.TrimSpace(line), "listening on ")
+	client := objectstore.New(netip.MustParseAddrPort(address))
+	_, err = client.Put(ctx, "k", nil, objectstore.Condition{})
+	assert.NilError(t, err)
+	client.Close()
+	stop()
+	assert.NilError(t, <-done)
+}
+
+func TestObjectStoreCommandRefusesHostName(t *testing.T) {
+	root := cmd.NewRootCommand()
+	root.SetErr(io.Discard)
+	root.SetArgs([]string{"objectstore", "--listen", "localhost:0"})
+	assert.ErrorContains(t, root.ExecuteContext(t.Context()), "an IP number and port")
+}
--- /dev/null
+++ b/standin/objectstore/faults.go
@@ -0,0 +1,113 @@
+package objectstore
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"time"
+)
+
+// Faults are the switches of the store's failures; the zero value is a healthy store.
+type Faults struct {
+	// Down breaks the connection of every call, without effect.
+	Down bool `json:"down"`
+	// SlowMS delays every call, in milliseconds.
+	SlowMS int64 `json:"slow_ms"`
+	// LoseAnswers is the number of next writes that take effect but are not answered.
+	LoseAnswers int `json:"lose_answers"`
+	// StaleWatches lets watches see the objects as they were when it was switched on.
+	StaleWatches bool `json:"stale_watches"`
+}
+
+// Counters count calls since the start.
+type Counters struct {
+	Reads   uint64 `json:"reads"`
+	Writes  uint64 `json:"writes"`
+	Watches uint64 `json:"watches"`
+	// Limited counts calls refused over the rate limit; they are in no other counter.
+	Limited uint64 `json:"limited"`
+}
+
+// SetFaults replaces the switches and wakes the waiting watches.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.StaleWatches && !s.faults.StaleWatches {
+		s.frozen = maps.Clone(s.objects)
+	}
+	s.faults = f
+	s.broadcast()
+}
+
+// Faults returns the switches; LoseAnswers is the number that is left.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counters returns the counters.
+func (s *Server) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters
+}
+
+func (s *Server) count(add func(*Counters)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	add(&s.counters)
+}
+
+// delay makes a call slow and breaks its connection while the store is down.
+func (s *Server) delay(r *http.Request) {
+	if slow := time.Duration(s.Faults().SlowMS) * time.Millisecond; slow > 0 {
+		select {
+		case <-time.After(slow):
+		case <-r.Context().Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abortIfDown()
+}
+
+// abortIfDown breaks the connection while the store is down. The caller holds the mutex.
+func (s *Server) abortIfDown() {
+	if s.faults.Down {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// loseAnswer breaks the connection of a write that has taken effect. The caller holds the mutex.
+func (s *Server) loseAnswer() {
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serveAdmin serves GET and PUT /admin/faults and GET /admin/counters as JSON.
+func (s *Server) serveAdmin(w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case "GET /admin/faults":
+		_ = json.NewEncoder(w).Encode(s.Faults())
+	case "GET /admin/counters":
+		_ = json.NewEncoder(w).Encode(s.Counters())
+	case "PUT /admin/faults":
+		s.putFaults(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	var f Faults
+	if err := decoder.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
