--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jackdawlane/jackdawlane/attempt"
+	"github.com/jackdawlane/jackdawlane/exchange"
+	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/membership"
+)
+
+const (
+	// hopGrace lets the guard's own reply about a timeout arrive.
+	hopGrace = 250 * time.Millisecond
+	// resolveTimeout bounds the resolution after the deadline of the request.
+	resolveTimeout = 2 * time.Second
+	// cancelTimeout bounds the call that cancels work whose caller has gone.
+	cancelTimeout = time.Second
+)
+
+// try is one attempt of a task.
+type try struct {
+	*task
+	id      string
+	backend membership.Backend
+	w       http.ResponseWriter
+	r       *http.Request
+}
+
+// attempt makes one attempt. It returns nil when the caller has its reply, and
+// aborts the caller's connection when a reply that has begun cannot be completed.
+func (t *task) attempt(w http.ResponseWriter, r *http.Request, b membership.Backend, force bool) *refusal {
+	y := &try{task: t, id: hop.NewAttemptID(), backend: b, w: w, r: r}
+	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(hopGrace))
+	defer cancel()
+	out, sending := exchange.NewRequest(ctx, r, b.Guard.HopAddress, t.body.reader())
+	y.prepare(out.Header, force)
+	defer context.AfterFunc(ctx, func() { sending.Interrupt(w) })()
+	// Keeps the transport from reading the body after the attempt.
+	defer sending.Close()
+	reply := exchange.NewReply(w)
+	res, sent, err := exchange.Do(t.entry.transport, out, reply.Informational)
+	reply.Close()
+	if err != nil && !sent {
+		f := notRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard cannot be reached")
+		f.guardDown = true
+		return f
+	}
+	if err != nil {
+		return y.lost()
+	}
+	defer res.Body.Close()
+	return y.judge(reply, res)
+}
+
+func (y *try) prepare(h http.Header, force bool) {
+	key := h.Values("Idempotency-Key")
+	if len(key) > 0 {
+		h[hop.HeaderIdempotencyKey] = key
+		h.Del("Idempotency-Key")
+	}
+	if y.body.rest != nil {
+		h.Set("Expect", "100-continue")
+	}
+	now := time.Now()
+	left := max(y.deadline.Sub(now)/time.Millisecond, 1)
+	h.Set(hop.HeaderAttempt, y.id)
+	h.Set(hop.HeaderBackendServer, y.backend.ID)
+	h.Set(hop.HeaderService, y.backend.Service)
+	h.Set(hop.HeaderOrganisation, y.route.Organisation)
+	h.Set(hop.HeaderRoute, y.route.Name)
+	h.Set(hop.HeaderIdempotent, strconv.FormatBool(y.route.Idempotent))
+	h.Set(hop.HeaderTimeoutMS, strconv.FormatInt(int64(left), 10))
+	h.Set(hop.HeaderSentMS, strconv.FormatInt(now.UnixMilli(), 10))
+	h.Set(hop.HeaderConfigVersion, strconv.FormatUint(y.version, 10))
+	if force {
+		h.Set(hop.HeaderForce, "true")
+	}
+}
+
+// judge acts on the guard's reply.
+func (y *try) judge(reply *exchange.Reply, res *http.Response) *refusal {
+	reason := hop.Reason(res.Header.Get(hop.HeaderReason))
+	switch hop.Outcome(res.Header.Get(hop.HeaderOutcome)) {
+	case hop.OutcomeAnswer:
+		y.deliver(reply, res)
+		return nil
+	case hop.OutcomeNotRun:
+		return notRun(http.StatusServiceUnavailable, reason, "the guard refused the work")
+	case hop.OutcomeUnknown:
+		if reason != hop.ReasonDuplicate {
+			return unknown(reason, "the backend server gave no complete answer")
+		}
+	}
+	return y.lost()
+}
+
+// deliver relays an answer. When it breaks off, the rest of a retained answer
+// follows, or the caller's connection is aborted.
+func (y *try) deliver(reply *exchange.Reply, res *http.Response) {
+	streamed := res.ContentLength < 0
+	sendHead(reply, res.StatusCode, res.Header, res.Trailer)
+	if streamed {
+		reply.Flush()
+	}
+	offset, err := reply.Copy(res.Body, streamed, func([]byte) {})
+	if err == nil {
+		reply.Trailer(res.Trailer)
+		return
+	}
+	if errors.Is(err, exchange.ErrWrite) || y.r.Context().Err() != nil {
+		y.cancel()
+		panic(http.ErrAbortHandler)
+	}
+	a := y.recover()
+	if a == nil || offset > int64(len(a.Body)) {
+		panic(http.ErrAbortHandler)
+	}
+	y.w.Write(a.Body[offset:])
+	reply.Trailer(a.Trailer)
+}
+
+func sendHead(reply *exchange.Reply, status int, header, trailer http.Header) {
+	hop.DropHopByHop(header)
+	hop.DropProjectHeaders(header)
+	header.Set(hop.HeaderOutcome, string(hop.OutcomeAnswer))
+	reply.Head(status, header, trailer)
+}
+
+// lost finds out what became of an attempt without a reply.
+func (y *try) lost() *refusal {
+	if y.r.Context().Err() != nil {
+		y.cancel()
+		return unknown(hop.ReasonCancelled, "the caller has gone")
+	}
+	if y.body.stalled() {
+		y.cancel()
+		return unknown(hop.ReasonTimeout, "the request body made no progress")
+	}
+	if y.route.Idempotent {
+		return unknown(y.lostReason(), "the answer was lost")
+	}
+	state, answer := y.resolve()
+	switch {
+	case state == attempt.NotRun:
+		return notRun(http.StatusServiceUnavailable, hop.ReasonAnswerLost, "the guard never dispatched the work")
+	case answer != nil:
+		reply := exchange.NewReply(y.w)
+		sendHead(reply, answer.Status, answer.Header.Clone(), answer.Trailer)
+		y.w.Write(answer.Body)
+		reply.Trailer(answer.Trailer)
+		return nil
+	}
+	return unknown(y.lostReason(), "the answer was lost and the work may have run")
+}
+
+func (y *try) lostReason() hop.Reason {
+	if time.Now().Before(y.deadline) {
+		return hop.ReasonAnswerLost
+	}
+	return hop.ReasonTimeout
+}
+
+// recover returns the whole answer of work that must not repeat, or nil.
+func (y *try) recover() *attempt.Answer {
+	if y.route.Idempotent {
+		return nil
+	}
+	_, a := y.resolve()
+	return a
+}
+
+// resolve asks the guard about the attempt and fetches a retained answer.
+func (y *try) resolve() (attempt.State, *attempt.Answer) {
+	ctx, cancel := context.WithDeadline(y.r.Context(), y.deadline.Add(resolveTimeout))
+	defer cancel()
+	resolver := y.entry.config.Resolver
+	state, err := resolver.Resolve(ctx, y.backend.Guard, y.id, time.Until(y.deadline)+hopGrace)
+	if err != nil {
+		return attempt.Unknown, nil
+	}
+	if state != attempt.Answered {
+		return state, nil
+	}
+	a, err := resolver.FetchAnswer(ctx, y.backend.Guard, y.id)
+	if err != nil {
+		return attempt.Unknown, nil
+	}
+	return state, a
+}
+
+// cancel tells the guard that the caller has gone. Loss of the hop connection
+// alone does not cancel work that must not repeat.
+func (y *try) cancel() {
+	if y.route.Idempotent {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(y.r.Context()), cancelTimeout)
+	defer stop()
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+y.backend.Guard.HopAddress+"/", http.NoBody)
+	if err != nil {
+		return
+	}
+	out.Header.Set(hop.HeaderCancel, y.id)
+	res, err := y.entry.transport.RoundTrip(out)
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, res.Body)
+	res.Body.Close()
+}
--- /dev/null
+++ b/entry/once_test.go
@@ -0,0 +1,53 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/standin/backend"
+)
+
+// Guards against work that runs twice when a backend server reads the request
+// and closes a reused connection, which http.Transport would resend.
+func TestWorkRunsAtMostOnce(t *testing.T) {
+	for _, method := range []string{"POST", "GET"} {
+		for _, key := range []string{"", "key"} {
+			for _, body := range []string{"", "content"} {
+				t.Run(fmt.Sprintf("%s key=%q body=%q", method, key, body), func(t *testing.T) {
+					runAtMostOnce(t, method, key, body)
+				})
+			}
+		}
+	}
+}
+
+func runAtMostOnce(t *testing.T, method, key, body string) {
+	b := backend.New(backend.DefaultSettings, 1)
+	n := newNode(t)
+	n.addBackend(t, b.HTTPServer())
+	f := newFleet(t, n)
+	send := func(id string) response {
+		r := f.request(method, "/work", body)
+		r.Header.Set(backend.HeaderWorkID, id)
+		if key != "" {
+			r.Header.Set("Idempotency-Key", key)
+		}
+		return f.do(r)
+	}
+	for i := range 3 {
+		first, second := fmt.Sprint("good-", i), fmt.Sprint("bad-", i)
+		b.Change(func(s *backend.Settings) { s.CloseShare = 0 })
+		res := send(first)
+		assert.Equal(t, res.outcome(), "answer", res.body)
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+		b.Change(func(s *backend.Settings) { s.CloseShare = 1 })
+		res = send(second)
+		assert.Equal(t, res.outcome(), "unknown", res.body)
+		assert.Equal(t, res.StatusCode, http.StatusBadGateway)
+		assert.Equal(t, b.Runs()[first], 1)
+		assert.Equal(t, b.Runs()[second], 1)
+	}
+}
--- /dev/null
+++ b/exchange/conn.go
@@ -0,0 +1,115 @@
+// Package exchange sends an HTTP request at most once over http.Transport,
+// tells whether any of it can have left, and relays the response.
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrExchange marks a request without a response.
+var ErrExchange = errors.New("no response")
+
+const (
+	dialTimeout = 2 * time.Second
+	idleTimeout = 90 * time.Second
+)
+
+// conn counts the writes that were started on a connection.
+type conn struct {
+	net.Conn
+	writes atomic.Int64
+	sealed atomic.Bool
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	if c.sealed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// seal prevents every later write and returns the number of writes started before.
+// A write that is not in this number finds the connection sealed.
+func (c *conn) seal() int64 {
+	c.sealed.Store(true)
+	c.Close()
+	return c.writes.Load()
+}
+
+// NewTransport returns an HTTP/1.1 transport for use with Do.
+// maxConns bounds the connections to each host; 0 means no bound.
+func NewTransport(maxConns, maxIdleConns int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		DisableCompression:  true,
+		MaxConnsPerHost:     maxConns,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// tracker follows the connection that one request uses.
+type tracker struct {
+	mu     sync.Mutex
+	conn   *conn
+	before int64
+	sent   bool
+}
+
+func (t *tracker) gotConn(info httptrace.GotConnInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, ok := info.Conn.(*conn)
+	if !ok || t.conn != nil {
+		t.sent = true
+		return
+	}
+	t.conn = c
+	t.before = c.writes.Load()
+}
+
+// stop prevents further writes and reports whether any byte can have left.
+func (t *tracker) stop() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return t.sent
+	}
+	return t.conn.seal() > t.before || t.sent
+}
+
+// Do sends req, which must come from NewRequest. on1xx receives informational
+// responses. On an error, which is ErrExchange, sent is false only when no byte
+// of the request can have left or can leave later.
+func Do(t http.RoundTripper, req *http.Request, on1xx func(int, textproto.MIMEHeader)) (res *http.Response, sent bool, err error) {
+	tr := &tracker{}
+	trace := &httptrace.ClientTrace{
+		GotConn: tr.gotConn,
+		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
+			on1xx(code, header)
+			return nil
+		},
+	}
+	res, err = t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, tr.stop(), errors.Mark(err, ErrExchange)
+	}
+	return res, true, nil
+}
--- /dev/null
+++ b/exchange/request.go
@@ -0,0 +1,103 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/hop"
+)
+
+// Body is a request body that no HTTP client can rewind, so none resends the
+// request. http.Transport resends requests whose body is nil, http.NoBody or has GetBody.
+type Body struct {
+	mu     sync.Mutex
+	reader io.Reader
+	atEOF  func()
+	closed bool
+	ended  atomic.Bool
+}
+
+// Read implements io.Reader. After Close it returns http.ErrBodyReadAfterClose.
+func (b *Body) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	n, err := b.reader.Read(p)
+	if err == io.EOF {
+		b.ended.Store(true)
+		b.atEOF()
+	}
+	return n, err
+}
+
+// Close waits for a Read in progress; no Read touches the reader afterwards.
+func (b *Body) Close() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	return nil
+}
+
+// Interrupt ends a Read in progress on a body of the handler of w that has not
+// been read to its end.
+func (b *Body) Interrupt(w http.ResponseWriter) {
+	if !b.ended.Load() {
+		http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// NewRequest returns a request to address that repeats in with the given body,
+// without the headers that concern one connection only.
+// The body is as long as the body of in.
+func NewRequest(ctx context.Context, in *http.Request, address string, body io.Reader) (*http.Request, *Body) {
+	out := in.Clone(ctx)
+	out.RequestURI = ""
+	out.URL.Scheme = "http"
+	out.URL.Host = address
+	out.URL.User = nil
+	out.Close = false
+	out.TransferEncoding = nil
+	out.GetBody = nil
+	out.Trailer = announced(in.Trailer)
+	wrapped := &Body{reader: body, atEOF: func() { copyValues(out.Trailer, in.Trailer) }}
+	out.Body = wrapped
+	if in.ContentLength == 0 {
+		// Without this a POST with an empty body would be sent chunked.
+		out.TransferEncoding = []string{"identity"}
+	}
+	cleanHeader(out.Header)
+	return out, wrapped
+}
+
+func cleanHeader(h http.Header) {
+	hop.DropHopByHop(h)
+	// The server of this hop has answered the expectation.
+	h.Del("Expect")
+	if _, ok := h["User-Agent"]; !ok {
+		// Keeps http.Transport from adding its own.
+		h["User-Agent"] = nil
+	}
+}
+
+func announced(trailer http.Header) http.Header {
+	if len(trailer) == 0 {
+		return nil
+	}
+	names := make(http.Header, len(trailer))
+	for name := range trailer {
+		names[name] = nil
+	}
+	return names
+}
+
+func copyValues(to, from http.Header) {
+	for name := range to {
+		to[name] = from[name]
+	}
+}
--- /dev/null
+++ b/exchange/response.go
@@ -0,0 +1,123 @@
+package exchange
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jackdawlane/jackdawlane/hop"
+)
+
+// Errors of Copy.
+var (
+	// ErrRead marks a response body that broke off.
+	ErrRead = errors.New("response body broke off")
+	// ErrWrite marks a receiver that has gone.
+	ErrWrite = errors.New("receiver of the response has gone")
+)
+
+const copyBufferBytes = 32 << 10
+
+var buffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+
+// Reply writes one response. Informational responses may arrive concurrently
+// from the transport until Head is called.
+type Reply struct {
+	w       http.ResponseWriter
+	mu      sync.Mutex
+	started bool
+	names   http.Header
+}
+
+// NewReply returns a reply to w.
+func NewReply(w http.ResponseWriter) *Reply { return &Reply{w: w} }
+
+// Informational forwards a 1xx response, unless the final response has started.
+// It leaves out 100 and 101, which concern one connection only.
+func (r *Reply) Informational(code int, header textproto.MIMEHeader) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.started || code <= http.StatusSwitchingProtocols {
+		return
+	}
+	h := r.w.Header()
+	before := maps.Clone(h)
+	maps.Copy(h, http.Header(header))
+	hop.DropProjectHeaders(h)
+	r.w.WriteHeader(code)
+	clear(h)
+	maps.Copy(h, before)
+}
+
+// Close prevents informational responses from now on.
+func (r *Reply) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.started = true
+}
+
+// Head writes status and headers. trailer names the trailers that will follow.
+func (r *Reply) Head(status int, header, trailer http.Header) {
+	r.Close()
+	h := r.w.Header()
+	maps.Copy(h, header)
+	if _, ok := header["Content-Type"]; !ok {
+		// Keeps the server from guessing a type.
+		h["Content-Type"] = nil
+	}
+	r.names = announced(trailer)
+	for name := range r.names {
+		h.Add("Trailer", name)
+	}
+	r.w.WriteHeader(status)
+}
+
+// Copy writes body and passes each part to tee. It flushes each part when flush
+// is set. It returns the number of bytes written, and ErrRead or ErrWrite.
+func (r *Reply) Copy(body io.Reader, flush bool, tee func([]byte)) (int64, error) {
+	buffer := buffers.Get().(*[copyBufferBytes]byte)
+	defer buffers.Put(buffer)
+	var written int64
+	for {
+		n, err := body.Read(buffer[:])
+		if n > 0 {
+			tee(buffer[:n])
+			m, err := r.w.Write(buffer[:n])
+			written += int64(m)
+			if err != nil {
+				return written, errors.Mark(err, ErrWrite)
+			}
+		}
+		if err == io.EOF {
+			return written, nil
+		}
+		if err != nil {
+			return written, errors.Mark(err, ErrRead)
+		}
+		if flush {
+			r.Flush()
+		}
+	}
+}
+
+// Flush sends what was written so far.
+func (r *Reply) Flush() { http.NewResponseController(r.w).Flush() }
+
+// Trailer writes the trailers after the body.
+func (r *Reply) Trailer(trailer http.Header) {
+	h := r.w.Header()
+	for name, values := range trailer {
+		if strings.HasPrefix(name, hop.HeaderPrefix) {
+			continue
+		}
+		if _, ok := r.names[name]; !ok {
+			name = http.TrailerPrefix + name
+		}
+		h[name] = values
+	}
+}
--- /dev/null
+++ b/guard/dispatch.go
@@ -0,0 +1,170 @@
+package guard
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/jackdawlane/jackdawlane/attempt"
+	"github.com/jackdawlane/jackdawlane/exchange"
+	"github.com/jackdawlane/jackdawlane/hop"
+)
+
+// dispatch sends the attempt to its backend server and relays the answer.
+func (g *Guard) dispatch(ctx context.Context, w http.ResponseWriter, r *http.Request, body io.Reader, j job, s server) {
+	start := time.Now()
+	reply := exchange.NewReply(w)
+	out, sending := exchange.NewRequest(ctx, r, s.backend.Address, body)
+	prepare(out, j)
+	// http.Transport waits for a Read in progress, so the deadline must end it.
+	defer context.AfterFunc(ctx, func() { sending.Interrupt(w) })()
+	// Keeps the transport from reading the body after the handler has returned.
+	defer sending.Close()
+	defer sending.Interrupt(w)
+	res, sent, err := exchange.Do(s.transport, out, reply.Informational)
+	reply.Close()
+	if err != nil {
+		g.dispatchFailed(ctx, w, j, sent, start)
+		return
+	}
+	defer res.Body.Close()
+	err = g.relay(reply, res, j)
+	if errors.Is(err, exchange.ErrRead) {
+		g.observe(ctx, j, Failed, start)
+	}
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	g.observe(ctx, j, resultOf(res.StatusCode), start)
+}
+
+// prepare replaces the headers of the hop by those for the backend server.
+func prepare(out *http.Request, j job) {
+	key := out.Header.Values(hop.HeaderIdempotencyKey)
+	hop.DropProjectHeaders(out.Header)
+	if len(key) > 0 {
+		out.Header["Idempotency-Key"] = key
+	}
+	left := max(time.Until(j.Deadline), time.Millisecond)
+	out.Header.Set("Request-Timeout", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+}
+
+func (g *Guard) dispatchFailed(ctx context.Context, w http.ResponseWriter, j job, sent bool, start time.Time) {
+	reason := hop.ReasonUnreachable
+	if ctx.Err() != nil {
+		reason = reasonOf(ctx)
+	}
+	if !sent {
+		if ctx.Err() == nil {
+			g.observe(ctx, j, Failed, start)
+		}
+		g.refuse(w, j, reason)
+		return
+	}
+	g.calls.finish(j.id, nil)
+	g.observe(ctx, j, Failed, start)
+	if reason == hop.ReasonUnreachable {
+		reason = hop.ReasonAnswerLost
+	}
+	status := http.StatusBadGateway
+	if reason == hop.ReasonTimeout {
+		status = http.StatusGatewayTimeout
+	}
+	g.fail(w, j, status, hop.OutcomeUnknown, reason)
+}
+
+// relay sends the answer to the entry and, unless the work may repeat, records
+// it. The recording goes on when the entry's connection is lost.
+func (g *Guard) relay(reply *exchange.Reply, res *http.Response, j job) error {
+	streamed := res.ContentLength < 0
+	hop.DropHopByHop(res.Header)
+	hop.DropProjectHeaders(res.Header)
+	head := res.Header.Clone()
+	g.stamp(head, j, hop.OutcomeAnswer)
+	reply.Head(res.StatusCode, head, res.Trailer)
+	if streamed {
+		reply.Flush()
+	}
+	a := &answer{calls: g.calls, id: j.id, lost: j.Idempotent}
+	_, err := reply.Copy(res.Body, streamed, a.add)
+	if errors.Is(err, exchange.ErrWrite) && !j.Idempotent {
+		err = a.drain(res.Body)
+	}
+	if err != nil {
+		return err
+	}
+	a.finish(res)
+	reply.Trailer(res.Trailer)
+	return nil
+}
+
+// observe reports a dispatch, unless it was cancelled.
+func (g *Guard) observe(ctx context.Context, j job, r Result, start time.Time) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	g.config.Observer.Observe(Dispatch{BackendID: j.BackendID, Route: j.Route, Result: r, Latency: time.Since(start)})
+}
+
+func resultOf(status int) Result {
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return Shed
+	case status >= http.StatusInternalServerError:
+		return Failed
+	}
+	return OK
+}
+
+// answer collects the answer of an attempt for the ledger.
+type answer struct {
+	calls *calls
+	id    string
+	body  []byte
+	// lost is set when the answer is not, or no longer, collected.
+	lost bool
+}
+
+func (a *answer) add(p []byte) {
+	if a.lost {
+		return
+	}
+	if !a.calls.reserve(a.id, len(p)) {
+		a.lost = true
+		a.body = nil
+		return
+	}
+	a.body = append(a.body, p...)
+}
+
+// drain reads the rest of the body.
+func (a *answer) drain(body io.Reader) error {
+	if _, err := io.Copy(writerFunc(a.add), body); err != nil {
+		return errors.Mark(err, exchange.ErrRead)
+	}
+	return nil
+}
+
+func (a *answer) finish(res *http.Response) {
+	if a.lost {
+		a.calls.finish(a.id, nil)
+		return
+	}
+	a.calls.finish(a.id, &attempt.Answer{
+		Status:  res.StatusCode,
+		Header:  res.Header,
+		Body:    a.body,
+		Trailer: res.Trailer.Clone(),
+	})
+}
+
+type writerFunc func([]byte)
+
+func (f writerFunc) Write(p []byte) (int, error) {
+	f(p)
+	return len(p), nil
+}
--- /dev/null
+++ b/guard/guard.go
@@ -0,0 +1,213 @@
+// Package guard dispatches attempts to the backend servers that announce to
+// this node, each at most once, and accounts for those whose answer was lost.
+package guard
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/attempt"
+	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/membership"
+)
+
+// Config of a guard.
+type Config struct {
+	// Self identifies the node; its incarnation is the guard's.
+	Self membership.Guard
+	// MayAnnounce reports whether a credential allows announcing a service.
+	MayAnnounce func(service, credential string) bool
+	// Admission may be nil: then announced slots limit the work.
+	Admission Admission
+	// Observer may be nil: then every backend server is healthy.
+	Observer Observer
+	// Limits bounds the attempt ledger.
+	Limits attempt.Limits
+}
+
+// Guard is the http.Handler of the hop address.
+type Guard struct {
+	config   Config
+	registry *registry
+	calls    *calls
+	stopping atomic.Bool
+}
+
+// New returns a guard.
+func New(c Config) *Guard {
+	if c.Admission == nil {
+		c.Admission = newSlots()
+	}
+	if c.Observer == nil {
+		c.Observer = noObserver{}
+	}
+	return &Guard{
+		config:   c,
+		registry: &registry{self: c.Self, servers: make(map[string]server)},
+		calls:    newCalls(c.Limits),
+	}
+}
+
+// Backends returns the backend servers heard within the last 3 s, in the order of their IDs.
+func (g *Guard) Backends(now time.Time) []membership.Backend {
+	bs := g.registry.backends(now)
+	for i := range bs {
+		state := g.config.Observer.State(bs[i].ID)
+		bs[i].Suspect = state == Suspect
+		bs[i].Ejected = state == Ejected
+	}
+	return bs
+}
+
+// Stop refuses new work and announcements from now on.
+func (g *Guard) Stop() { g.stopping.Store(true) }
+
+// maxBufferedBody is the size up to which a body is read before admission. Its
+// dispatch then does not depend on the entry's connection, whose loss net/http
+// reports only after the body was read.
+const maxBufferedBody = 64 << 10
+
+// ServeHTTP takes one attempt.
+func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(hop.HeaderCancel); id != "" {
+		g.calls.cancel(id)
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	j, err := parseJob(r.Header, time.Now())
+	if err != nil {
+		g.fail(w, j, http.StatusBadRequest, hop.OutcomeNotRun, hop.ReasonBadRequest)
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), j.Deadline)
+	defer cancel()
+	if v := g.calls.arrive(j.id, j.sent, cancel); v != attempt.Taken {
+		g.refuseArrival(w, j, v)
+		return
+	}
+	defer g.calls.end(j.id)
+	http.NewResponseController(w).EnableFullDuplex()
+	g.serve(ctx, cancel, w, r, j)
+}
+
+func (g *Guard) serve(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, r *http.Request, j job) {
+	body, err := bodyOf(r)
+	if err != nil {
+		g.refuse(w, j, hop.ReasonBadRequest)
+		return
+	}
+	// Queued work is dropped with the entry's connection; dispatched work only if it may repeat.
+	queueCtx, cancelQueue := context.WithCancel(ctx)
+	defer cancelQueue()
+	stopQueue := context.AfterFunc(r.Context(), cancelQueue)
+	s, release, reason := g.admit(queueCtx, j)
+	if reason != "" {
+		g.refuse(w, j, reason)
+		return
+	}
+	defer release()
+	stopQueue()
+	if j.Idempotent {
+		defer context.AfterFunc(r.Context(), cancel)()
+	}
+	if queueCtx.Err() != nil || !g.calls.dispatch(j.id) {
+		g.refuse(w, j, hop.ReasonCancelled)
+		return
+	}
+	g.dispatch(ctx, w, r, body, j, s)
+}
+
+func bodyOf(r *http.Request) (io.Reader, error) {
+	if r.ContentLength <= 0 || r.ContentLength > maxBufferedBody {
+		return r.Body, nil
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, err
+	}
+	// Lets net/http see the end of the body and watch for the loss of the connection.
+	r.Body.Read(make([]byte, 1))
+	return bytes.NewReader(body), nil
+}
+
+// admit returns the backend server when the work may be dispatched to it now.
+func (g *Guard) admit(ctx context.Context, j job) (server, func(), hop.Reason) {
+	s, reason := g.available(j)
+	if reason != "" {
+		return s, nil, reason
+	}
+	release, reason := g.config.Admission.Admit(ctx, j.Work, s.backend.Slots)
+	if reason != "" {
+		return s, nil, reason
+	}
+	// It may have left while the work was queued.
+	s, reason = g.available(j)
+	if reason != "" {
+		release()
+		return s, nil, reason
+	}
+	return s, release, ""
+}
+
+func (g *Guard) available(j job) (server, hop.Reason) {
+	if g.stopping.Load() {
+		return server{}, hop.ReasonStopping
+	}
+	s, ok := g.registry.lookup(j.BackendID, time.Now())
+	if !ok || s.backend.Service != j.service || s.backend.State == membership.StateStarting {
+		return s, hop.ReasonNoBackend
+	}
+	if s.backend.State == membership.StateLeaving {
+		return s, hop.ReasonLeaving
+	}
+	switch g.config.Observer.State(j.BackendID) {
+	case Ejected:
+		return s, hop.ReasonEjected
+	case Suspect:
+		if !j.force {
+			return s, hop.ReasonSuspect
+		}
+	}
+	return s, ""
+}
+
+func (g *Guard) refuseArrival(w http.ResponseWriter, j job, v attempt.Verdict) {
+	switch v {
+	case attempt.RefusedDuplicate:
+		g.fail(w, j, http.StatusBadGateway, hop.OutcomeUnknown, hop.ReasonDuplicate)
+	case attempt.RefusedTooOld:
+		g.fail(w, j, http.StatusServiceUnavailable, hop.OutcomeNotRun, hop.ReasonTimeout)
+	case attempt.RefusedFull:
+		g.fail(w, j, http.StatusServiceUnavailable, hop.OutcomeNotRun, hop.ReasonFull)
+	default:
+		g.fail(w, j, http.StatusServiceUnavailable, hop.OutcomeNotRun, hop.ReasonCancelled)
+	}
+}
+
+// refuse ends an attempt of which nothing was sent.
+func (g *Guard) refuse(w http.ResponseWriter, j job, reason hop.Reason) {
+	g.calls.refuse(j.id)
+	g.fail(w, j, http.StatusServiceUnavailable, hop.OutcomeNotRun, reason)
+}
+
+func (g *Guard) fail(w http.ResponseWriter, j job, status int, o hop.Outcome, reason hop.Reason) {
+	g.stamp(w.Header(), j, o)
+	w.Header().Set(hop.HeaderReason, string(reason))
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// stamp sets the reply headers of the hop.
+func (g *Guard) stamp(h http.Header, j job, o hop.Outcome) {
+	used, limit := g.config.Admission.Load(j.BackendID)
+	h.Set(hop.HeaderOutcome, string(o))
+	h.Set(hop.HeaderGuardIncarnation, strconv.FormatUint(g.config.Self.Incarnation, 10))
+	h.Set(hop.HeaderLoad, fmt.Sprintf("%d/%d", used, limit))
+	h.Set(hop.HeaderHealth, string(g.config.Observer.State(j.BackendID)))
+}
--- /dev/null
+++ b/guard/plug.go
@@ -0,0 +1,70 @@
+package guard
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/hop"
+)
+
+// Work describes an attempt to the admission point.
+type Work struct {
+	BackendID    string
+	Organisation string
+	Route        string
+	Idempotent   bool
+	Deadline     time.Time
+}
+
+// Admission decides when work may be dispatched.
+type Admission interface {
+	// Admit waits until the work may be dispatched, is refused, or ctx ends.
+	// An empty reason admits it; release must then be called once.
+	// slots is the announced number of slots of the backend server.
+	Admit(ctx context.Context, w Work, slots int) (release func(), reason hop.Reason)
+	// Load returns the queued and running work of a backend server and its limit.
+	Load(backendID string) (used, limit int)
+}
+
+// Health is the judgement on a backend server.
+type Health string
+
+// Judgements on a backend server.
+const (
+	Healthy Health = "healthy"
+	Suspect Health = "suspect"
+	Ejected Health = "ejected"
+)
+
+// Result is the result of a dispatch as seen by the observer.
+type Result int
+
+// Results of a dispatch.
+const (
+	// OK is a complete answer below 500.
+	OK Result = iota
+	// Failed is a connection failure, a timeout, a cut answer or an answer from 500.
+	Failed
+	// Shed is the answer 429 or 503, with which a backend server declines work.
+	Shed
+)
+
+// Dispatch is a finished dispatch. Cancelled ones are not reported.
+type Dispatch struct {
+	BackendID string
+	Route     string
+	Result    Result
+	Latency   time.Duration
+}
+
+// Observer judges backend servers by their work.
+type Observer interface {
+	Observe(d Dispatch)
+	State(backendID string) Health
+}
+
+// noObserver regards every backend server as healthy.
+type noObserver struct{}
+
+func (noObserver) Observe(Dispatch)    {}
+func (noObserver) State(string) Health { return Healthy }
--- /dev/null
+++ b/guard/registry.go
@@ -0,0 +1,81 @@
+package guard
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/exchange"
+	"github.com/jackdawlane/jackdawlane/membership"
+)
+
+// announceExpiry is how long a backend server counts as present after its last announcement.
+const announceExpiry = 3 * time.Second
+
+// server is a backend server that announces itself to this guard. It is immutable.
+type server struct {
+	backend   membership.Backend
+	transport *http.Transport
+	heard     time.Time
+}
+
+// registry holds the backend servers of a guard.
+type registry struct {
+	self    membership.Guard
+	mu      sync.Mutex
+	servers map[string]server
+}
+
+// announce records an announcement and forgets backend servers that are gone.
+func (g *registry) announce(b membership.Backend, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sweep(now)
+	b.Guard = g.self
+	old, ok := g.servers[b.ID]
+	transport := old.transport
+	if !ok || old.backend.Connections != b.Connections {
+		transport = exchange.NewTransport(b.Connections, b.Connections)
+		closeIdle(old)
+	}
+	g.servers[b.ID] = server{backend: b, transport: transport, heard: now}
+}
+
+func (g *registry) sweep(now time.Time) {
+	for id, s := range g.servers {
+		if s.gone(now) {
+			delete(g.servers, id)
+			closeIdle(s)
+		}
+	}
+}
+
+func closeIdle(s server) {
+	if s.transport != nil {
+		s.transport.CloseIdleConnections()
+	}
+}
+
+func (s server) gone(now time.Time) bool { return now.Sub(s.heard) >= announceExpiry }
+
+// lookup returns a backend server that is not gone.
+func (g *registry) lookup(id string, now time.Time) (server, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.servers[id]
+	return s, ok && !s.gone(now)
+}
+
+func (g *registry) backends(now time.Time) []membership.Backend {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sweep(now)
+	var bs []membership.Backend
+	for _, s := range g.servers {
+		bs = append(bs, s.backend)
+	}
+	slices.SortFunc(bs, func(a, b membership.Backend) int { return strings.Compare(a.ID, b.ID) })
+	return bs
+}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -24,6 +24,10 @@
 	HeaderForce          = "Jackdawlane-Force"
 	HeaderConfigVersion  = "Jackdawlane-Config-Version"
 	HeaderIdempotencyKey = "Jackdawlane-Idempotency-Key"
+	// HeaderSentMS is the entry's wall-clock time of sending, in Unix milliseconds.
+	HeaderSentMS = "Jackdawlane-Sent-Ms"
+	// HeaderCancel marks a request that only cancels the attempt it names, because its caller has gone.
+	HeaderCancel = "Jackdawlane-Cancel"
 )
 
 // Reply headers. Outcome and Reason also reach the caller.
--- /dev/null
+++ b/standin/cmd/link.go
@@ -0,0 +1,53 @@
+package cmd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jackdawlane/jackdawlane/standin/link"
+)
+
+func newLinkCommand() *cobra.Command {
+	var address, target, admin string
+	c := &cobra.Command{
+		Use:   "link",
+		Short: "Relay TCP connections with one-way cuts, delay and resets",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return runLink(c.Context(), address, target, admin) },
+	}
+	f := c.Flags()
+	f.StringVar(&address, "address", "127.0.0.1:0", "IP number and port to listen on")
+	f.StringVar(&target, "target", "", "IP number and port to relay to")
+	f.StringVar(&admin, "admin", "127.0.0.1:0", "IP number and port of the HTTP switch")
+	c.MarkFlagRequired("target")
+	return c
+}
+
+func runLink(ctx context.Context, address, target, admin string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	adminListener, err := net.Listen("tcp", admin)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	relay := link.New(target)
+	failed := make(chan error, 2)
+	go func() { failed <- relay.Serve(listener) }()
+	go func() { failed <- http.Serve(adminListener, relay) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
