--- a/standin/cmd/root.go
+++ b/standin/cmd/root.go
@@ -10,6 +10,6 @@
 		Short:        "Stand-ins of the platform for tests and trials",
 		SilenceUsage: true,
 	}
-	root.AddCommand(newObjectStoreCommand())
+	root.AddCommand(newObjectStoreCommand(), newBackendCommand(), newLinkCommand())
 	return root
 }
