Add membership directory and control service

The directory keeps soft state on nodes and backend servers with relays per data centre, and the syncer exchanges it once a second over ControlService.

--- /dev/null
+++ b/control/client.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+	"github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1/jackdawlanev1connect"
+)
+
+const (
+	// syncTimeout bounds one Sync; a failed relay is left before the next round but one.
+	syncTimeout = time.Second
+	// callTimeout bounds any other call whose context has no earlier deadline.
+	callTimeout = 10 * time.Second
+	dialTimeout = time.Second
+	// A connection that is silent for pingAfter is probed and closed after
+	// pingTimeout. Without it a cut connection stays in the pool and fails all calls.
+	pingAfter   = 3 * time.Second
+	pingTimeout = 2 * time.Second
+)
+
+// Client calls other nodes over shared cleartext HTTP/2 connections, one for each address.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client.
+func NewClient() *Client {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Protocols:       &protocols,
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	return &Client{http: &http.Client{Transport: transport, Timeout: callTimeout}}
+}
+
+// Node returns the calls to the node at a control address.
+func (c *Client) Node(address string) jackdawlanev1connect.ControlServiceClient {
+	return jackdawlanev1connect.NewControlServiceClient(c.http, "http://"+address,
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithSendMaxBytes(maxMessageBytes))
+}
+
+// Sync sends one Sync within its timeout.
+func (c *Client) Sync(ctx context.Context, address string, r *pb.SyncRequest) (*pb.SyncResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	return c.Node(address).Sync(ctx, r)
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,150 @@
+// Package control connects nodes: it serves and calls ControlService, and runs
+// the exchange of membership.
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+	"github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1/jackdawlanev1connect"
+)
+
+const (
+	// maxMessageBytes bounds a received message. A Sync reply is cut at 1 MiB
+	// and the largest object of the store has 1 MB.
+	maxMessageBytes = 4 << 20
+	// maxConfigBytes bounds the pages of one GetConfig reply; the caller asks again for the rest.
+	maxConfigBytes = 2 << 20
+	// minCompressedBytes is the size from which a reply is compressed. Steady
+	// Sync replies are smaller and not worth the processor time.
+	minCompressedBytes = 4 << 10
+	readHeaderTimeout  = 5 * time.Second
+	idleTimeout        = 2 * time.Minute
+)
+
+// Attempts decides the fate of attempts whose answer was lost.
+type Attempts interface {
+	ResolveAttempt(context.Context, *pb.ResolveAttemptRequest) (*pb.ResolveAttemptResponse, error)
+	FetchAnswer(context.Context, *pb.FetchAnswerRequest) (*pb.FetchAnswerResponse, error)
+}
+
+// Reports aggregates the work counters of a service.
+type Reports interface {
+	ReportService(context.Context, *pb.ReportServiceRequest) (*pb.ReportServiceResponse, error)
+}
+
+// ConfigSource holds the configuration that this node can pass on.
+type ConfigSource interface {
+	// Head returns the version and the encoded head, nil when there is none yet.
+	Head() (version uint64, head []byte)
+	// Page returns the page with the hash.
+	Page(hash string) ([]byte, bool)
+}
+
+// Services are what the calls of ControlService are delegated to. A call whose
+// service is nil answers connect.CodeUnimplemented.
+type Services struct {
+	Syncer   *Syncer
+	Config   ConfigSource
+	Attempts Attempts
+	Reports  Reports
+	// Build is the version of the program that Status reports.
+	Build string
+}
+
+type handler struct{ Services }
+
+// NewHandler returns the handler of all ControlService calls.
+func NewHandler(s Services) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(jackdawlanev1connect.NewControlServiceHandler(&handler{s},
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithCompressMinBytes(minCompressedBytes)))
+	return mux
+}
+
+// NewServer returns a server of h for HTTP/1.1 and cleartext HTTP/2.
+func NewServer(h http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+func unimplemented(call string) error {
+	return connect.NewError(connect.CodeUnimplemented, errNotServed(call))
+}
+
+type errNotServed string
+
+func (e errNotServed) Error() string { return string(e) + " is not served by this node" }
+
+func (h *handler) Sync(ctx context.Context, r *pb.SyncRequest) (*pb.SyncResponse, error) {
+	if h.Syncer == nil {
+		return nil, unimplemented("Sync")
+	}
+	reply, err := h.Syncer.HandleSync(ctx, r)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return reply, nil
+}
+
+func (h *handler) Status(context.Context, *pb.StatusRequest) (*pb.StatusResponse, error) {
+	if h.Syncer == nil {
+		return nil, unimplemented("Status")
+	}
+	own, records := h.Syncer.Records()
+	return &pb.StatusResponse{Node: own, Directory: records, Build: h.Build}, nil
+}
+
+func (h *handler) GetConfig(_ context.Context, r *pb.GetConfigRequest) (*pb.GetConfigResponse, error) {
+	if h.Config == nil {
+		return nil, unimplemented("GetConfig")
+	}
+	version, head := h.Config.Head()
+	reply := &pb.GetConfigResponse{Version: version, Head: head, Pages: make(map[string][]byte)}
+	size := len(head)
+	for _, hash := range r.GetPageHashes() {
+		page, ok := h.Config.Page(hash)
+		if !ok {
+			continue
+		}
+		size += len(page)
+		if size > maxConfigBytes && len(reply.Pages) > 0 {
+			break
+		}
+		reply.Pages[hash] = page
+	}
+	return reply, nil
+}
+
+func (h *handler) ResolveAttempt(ctx context.Context, r *pb.ResolveAttemptRequest) (*pb.ResolveAttemptResponse, error) {
+	if h.Attempts == nil {
+		return nil, unimplemented("ResolveAttempt")
+	}
+	return h.Attempts.ResolveAttempt(ctx, r)
+}
+
+func (h *handler) FetchAnswer(ctx context.Context, r *pb.FetchAnswerRequest) (*pb.FetchAnswerResponse, error) {
+	if h.Attempts == nil {
+		return nil, unimplemented("FetchAnswer")
+	}
+	return h.Attempts.FetchAnswer(ctx, r)
+}
+
+func (h *handler) ReportService(ctx context.Context, r *pb.ReportServiceRequest) (*pb.ReportServiceResponse, error) {
+	if h.Reports == nil {
+		return nil, unimplemented("ReportService")
+	}
+	return h.Reports.ReportService(ctx, r)
+}
--- /dev/null
+++ b/membership/directory.go
@@ -0,0 +1,240 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+)
+
+// Times of the directory.
+const (
+	// SyncInterval is the time between two rounds of Sync.
+	SyncInterval = time.Second
+	// goneAfter is how long a node may stay silent before its relay marks it gone.
+	goneAfter = 5 * time.Second
+	// isolatedGoneAfter replaces goneAfter while the relay hears less than half
+	// of its data centre: the relay itself is then the likelier one to be cut off,
+	// and marking all others gone makes each of them send its record again.
+	isolatedGoneAfter = time.Minute
+	// goneRetention outlasts the partitions and pauses after which a peer still
+	// has to learn that a node is gone.
+	goneRetention = time.Hour
+	// refreshInterval is how often a node raises its sequence without a change.
+	refreshInterval = 4 * time.Hour
+	// staleAfter drops a live record that missed two refreshes: a peer that was
+	// away longer than goneRetention never hears that such a node is gone.
+	staleAfter = 9 * time.Hour
+)
+
+// Directory holds the own record and those of all other nodes. It is not safe
+// for concurrent use. All times are since the same arbitrary start.
+type Directory struct {
+	own     *pb.NodeRecord
+	seeds   []string
+	entries map[string]*entry
+	log     changeLog
+	peers   map[string]*peer
+	// lost holds the data centres out of contact, as the relay reports them.
+	lost []string
+	// firstSince and relaySince say when this node became first relay or relay, -1 when it is not.
+	firstSince, relaySince time.Duration
+	lastReply, lastSeed    time.Duration
+	nextSeed               int
+	refreshAt              time.Duration
+	configVersion          uint64
+	superseded             bool
+	changes                uint64
+}
+
+// NewDirectory returns a directory with the own record. Seeds are control
+// addresses to join through. The record's incarnation must differ from those
+// of all earlier processes with the same node ID.
+func NewDirectory(now time.Duration, own *pb.NodeRecord, seeds []string) *Directory {
+	d := &Directory{
+		own:        proto.CloneOf(own),
+		seeds:      slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == own.GetControlAddress() }),
+		entries:    make(map[string]*entry),
+		peers:      make(map[string]*peer),
+		firstSince: -1,
+		relaySince: -1,
+		lastReply:  now - goneAfter,
+		lastSeed:   now - seedInterval,
+	}
+	d.publishOwn(now, max(own.GetSequence(), 1))
+	return d
+}
+
+// Own returns the own record. The caller must not change it.
+func (d *Directory) Own() *pb.NodeRecord { return d.own }
+
+// Superseded reports whether another process with the same node ID and a higher
+// incarnation was seen. The node must then stop or restart.
+func (d *Directory) Superseded() bool { return d.superseded }
+
+// UpdateOwn replaces state and backend servers of the own record, if they changed.
+// The configuration version alone is no change: at the target it would send
+// every record to every node 1,900 times a day.
+func (d *Directory) UpdateOwn(now time.Duration, state pb.NodeState, backends []*pb.BackendServer) {
+	next := proto.CloneOf(d.own)
+	next.State = state
+	next.BackendServers = backends
+	if proto.Equal(next, d.own) {
+		return
+	}
+	d.own = proto.CloneOf(next)
+	d.publishOwn(now, d.own.GetSequence()+1)
+}
+
+// SetConfigVersion notes the version that this node has in force.
+func (d *Directory) SetConfigVersion(version uint64) { d.configVersion = max(d.configVersion, version) }
+
+func (d *Directory) publishOwn(now time.Duration, sequence uint64) {
+	d.own = proto.CloneOf(d.own)
+	d.own.Sequence = sequence
+	d.own.ConfigVersion = d.configVersion
+	d.refreshAt = now + refreshInterval
+	d.store(now, d.own)
+}
+
+// merge takes a received record if it is newer than the one held.
+func (d *Directory) merge(now time.Duration, r *pb.NodeRecord) {
+	if r.GetNodeId() == "" {
+		return
+	}
+	if r.GetNodeId() == d.own.GetNodeId() {
+		d.mergeOwn(now, r)
+		return
+	}
+	e := d.entries[r.GetNodeId()]
+	if e != nil && Compare(r, e.record) <= 0 {
+		return
+	}
+	d.store(now, r)
+}
+
+// mergeOwn answers a record of this node that is newer than the own one.
+func (d *Directory) mergeOwn(now time.Duration, r *pb.NodeRecord) {
+	if Compare(r, d.own) <= 0 {
+		return
+	}
+	if r.GetIncarnation() > d.own.GetIncarnation() {
+		d.superseded = true
+		return
+	}
+	d.publishOwn(now, r.GetSequence()+1)
+}
+
+func (d *Directory) store(now time.Duration, r *pb.NodeRecord) {
+	e := d.entries[r.GetNodeId()]
+	if e == nil {
+		never := now - goneAfter
+		e = &entry{hash: relayHash(r.GetNodeId()), heard: never, direct: never, detached: never}
+		d.entries[r.GetNodeId()] = e
+	}
+	d.changes++
+	e.record = r
+	e.marked = false
+	e.learnt = now
+	e.position = d.log.add(r.GetNodeId())
+	d.log.compact(d.entries)
+}
+
+// expire marks silent nodes gone and forgets old records.
+func (d *Directory) expire(now time.Duration) {
+	if now >= d.refreshAt {
+		d.publishOwn(now, d.own.GetSequence()+1)
+	}
+	d.updateRole(now)
+	d.updateLost(now)
+	d.markGone(now)
+	for id, e := range d.entries {
+		if forgettable(now, e) && !d.isSelf(e) {
+			delete(d.entries, id)
+			d.changes++
+		}
+	}
+}
+
+func forgettable(now time.Duration, e *entry) bool {
+	age := now - e.learnt
+	return age > staleAfter || !e.live() && age > goneRetention
+}
+
+// updateRole notes since when this node is relay and first relay.
+func (d *Directory) updateRole(now time.Duration) {
+	relays := d.ownRelays(now)
+	at := slices.IndexFunc(relays, d.isSelf)
+	d.firstSince = since(now, d.firstSince, at == 0)
+	d.relaySince = since(now, d.relaySince, at >= 0)
+}
+
+func since(now, start time.Duration, holds bool) time.Duration {
+	if !holds {
+		return -1
+	}
+	if start >= 0 {
+		return start
+	}
+	return now
+}
+
+// markGone marks the silent nodes that this relay watches: the first relay
+// watches its data centre, the second relay watches the first.
+func (d *Directory) markGone(now time.Duration) {
+	if d.relaySince < 0 {
+		return
+	}
+	limit := d.silenceLimit(now)
+	for _, e := range d.watched(now) {
+		last := max(e.heard, e.learnt, d.watchStart())
+		if now-last > limit {
+			d.store(now, goneRecord(e.record))
+			e.marked = true
+		}
+	}
+}
+
+func (d *Directory) watchStart() time.Duration {
+	if d.firstSince >= 0 {
+		return d.firstSince
+	}
+	return d.relaySince
+}
+
+func (d *Directory) watched(now time.Duration) []*entry {
+	if d.firstSince < 0 {
+		return slices.DeleteFunc(d.ownRelays(now), d.isSelf)
+	}
+	var es []*entry
+	for _, e := range d.entries {
+		if e.live() && !d.isSelf(e) && d.local(e) {
+			es = append(es, e)
+		}
+	}
+	return es
+}
+
+func (d *Directory) local(e *entry) bool {
+	return e.record.GetDataCentre() == d.own.GetDataCentre()
+}
+
+// silenceLimit returns goneAfter if this node hears at least half of its data centre.
+func (d *Directory) silenceLimit(now time.Duration) time.Duration {
+	live, heard := 0, 0
+	for _, e := range d.entries {
+		if !e.live() || !d.local(e) {
+			continue
+		}
+		live++
+		if d.isSelf(e) || now-e.heard <= goneAfter {
+			heard++
+		}
+	}
+	if 2*heard >= live {
+		return goneAfter
+	}
+	return isolatedGoneAfter
+}
--- /dev/null
+++ b/membership/directory_test.go
@@ -0,0 +1,228 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+)
+
+// healTime bounds convergence after the last fault: a relay that hears less
+// than half of its data centre waits for isolatedGoneAfter.
+const healTime = isolatedGoneAfter + 40*time.Second
+
+// Guards against states that faults of network and processes leave behind for good,
+// and against a record that an older one replaces.
+func TestDirectoriesConvergeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"),
+			rapid.IntRange(1, 3).Draw(t, "data centres"), rapid.IntRange(2, 5).Draw(t, "nodes"))
+		for range rapid.IntRange(1, 12).Draw(t, "faults") {
+			drawFault(t, s)
+			for range rapid.IntRange(1, 25).Draw(t, "seconds") {
+				s.step()
+				assert.Equal(t, s.steppedBack(), "")
+			}
+		}
+		s.heal()
+		if s.converge(healTime) < 0 {
+			t.Fatalf("not converged: %s", s.difference())
+		}
+		assert.Equal(t, s.steppedBack(), "")
+	})
+}
+
+func drawFault(t *rapid.T, s *simulation) {
+	a := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "a")]
+	b := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "b")]
+	switch rapid.IntRange(0, 8).Draw(t, "fault") {
+	case 0:
+		s.cut[[2]string{a.id, b.id}] = true
+	case 1:
+		if a.dc != b.dc {
+			s.cut[[2]string{a.dc, b.dc}] = true
+		}
+	case 2:
+		s.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss")
+	case 3:
+		s.delay = rapid.Float64Range(0, 0.5).Draw(t, "delay")
+	case 4:
+		// Seeds stay, because nothing else leads a new node to the fleet.
+		if s.seedIndex(a) < 0 {
+			a.alive = false
+		}
+	case 5, 6:
+		s.start(a)
+	case 7:
+		s.heal()
+	case 8:
+		if a.alive {
+			count := rapid.IntRange(0, 12).Draw(t, "backend servers")
+			a.directory.UpdateOwn(s.now, pb.NodeState_NODE_STATE_SERVING, simBackends(a.id, count))
+		}
+	}
+}
+
+func (s *simulation) seedIndex(n *simNode) int {
+	for i, seed := range s.seeds {
+		if seed == simAddress(n) {
+			return i
+		}
+	}
+	return -1
+}
+
+func joined(t *testing.T, dataCentres, perDataCentre int) *simulation {
+	t.Helper()
+	s := newSimulation(1, dataCentres, perDataCentre)
+	assert.Assert(t, s.converge(healTime) >= 0, s.difference())
+	for range 10 {
+		s.step()
+	}
+	return s
+}
+
+// Guards against a false death: a node that one relay does not hear, but the other one does.
+func TestOneWayCutToRelayMarksNobodyGone(t *testing.T) {
+	for _, toRelay := range []bool{true, false} {
+		s := joined(t, 1, 6)
+		relays := s.nodes[0].directory.ownRelays(s.now)
+		first := s.byAddress[relays[0].record.ControlAddress]
+		for _, n := range s.nodes {
+			pair := [2]string{n.id, first.id}
+			if !toRelay {
+				pair = [2]string{first.id, n.id}
+			}
+			before := n.directory.own.Sequence
+			if n == first || n.directory.IsRelay(s.now) {
+				continue
+			}
+			s.cut[pair] = true
+			for range 60 {
+				s.step()
+			}
+			assert.Equal(t, n.directory.own.Sequence, before, "a gone record raises the sequence")
+			s.heal()
+		}
+	}
+}
+
+// Guards against a storm of new records after a relay was cut off for a short time.
+func TestIsolatedRelayMarksNobodyGone(t *testing.T) {
+	s := joined(t, 2, 10)
+	relay := s.byAddress[s.nodes[0].directory.ownRelays(s.now)[0].record.ControlAddress]
+	for _, n := range s.nodes {
+		s.cut[[2]string{n.id, relay.id}] = true
+		s.cut[[2]string{relay.id, n.id}] = true
+	}
+	for range 40 {
+		s.step()
+	}
+	for _, e := range relay.directory.entries {
+		assert.Assert(t, e.live(), e.record.NodeId)
+	}
+}
+
+// Guards against a node that stays in use after its death, and against a relay pair that dies together.
+func TestDeadNodesAreMarkedGone(t *testing.T) {
+	for _, kill := range []string{"ordinary", "first relay", "both relays"} {
+		s := joined(t, 2, 8)
+		relays := s.nodes[0].directory.ownRelays(s.now)
+		for _, n := range s.nodes {
+			isFirst := n.id == relays[0].record.NodeId
+			isSecond := n.id == relays[1].record.NodeId
+			switch kill {
+			case "first relay":
+				n.alive = n.alive && !isFirst
+			case "both relays":
+				n.alive = n.alive && !isFirst && !isSecond
+			}
+		}
+		if kill == "ordinary" {
+			s.nodes[len(s.nodes)-1].alive = false
+		}
+		took := s.converge(healTime)
+		assert.Assert(t, took >= goneAfter && took <= 4*goneAfter, "%s: %s", kill, took)
+	}
+}
+
+// Guards against work sent to a data centre that is out of contact, and against
+// records that change although nobody died.
+func TestLostDataCentreLeavesTheViewAndReturns(t *testing.T) {
+	s := joined(t, 2, 4)
+	s.cut[[2]string{s.nodes[0].dc, s.nodes[1].dc}] = true
+	for range 12 {
+		s.step()
+	}
+	for _, n := range s.nodes {
+		for _, b := range n.directory.View().Backends("service-0000") {
+			assert.Equal(t, b.Guard.DataCentre, n.dc)
+		}
+	}
+	s.heal()
+	took := s.converge(healTime)
+	assert.Assert(t, took >= 0 && took <= 2*retryInterval, took)
+	for _, n := range s.nodes {
+		assert.Equal(t, n.directory.own.Sequence, uint64(1))
+		assert.Equal(t, len(n.directory.View().Backends("service-0000")), len(s.nodes))
+	}
+}
+
+// Guards against new work for the backend servers of a node that leaves.
+func TestLeavingNodeLeavesTheView(t *testing.T) {
+	s := joined(t, 2, 3)
+	leaving := s.nodes[0]
+	leaving.directory.UpdateOwn(s.now, pb.NodeState_NODE_STATE_LEAVING, leaving.directory.own.BackendServers)
+	for range 4 {
+		s.step()
+	}
+	for _, n := range s.nodes {
+		assert.Equal(t, len(n.directory.View().Backends("service-0000")), len(s.nodes)-1)
+	}
+}
+
+// Guards against two processes with one node ID that replace each other without end.
+func TestEarlierProcessIsSuperseded(t *testing.T) {
+	s := joined(t, 1, 3)
+	old := s.nodes[2].directory
+	s.start(s.nodes[2])
+	assert.Assert(t, s.converge(healTime) >= 0)
+	for _, c := range old.Tick(s.now) {
+		reply := s.byAddress[c.Address].directory.HandleSync(s.now, c.Request)
+		old.HandleReply(s.now, c, reply)
+	}
+	assert.Assert(t, old.Superseded())
+	assert.Assert(t, !s.nodes[2].directory.Superseded())
+}
+
+// Guards against memory that grows with the number of changes or of nodes that have gone.
+func TestForgetsGoneAndStaleRecords(t *testing.T) {
+	s := joined(t, 1, 3)
+	d := s.nodes[0].directory
+	for i := range 10000 {
+		d.merge(s.now, &pb.NodeRecord{NodeId: "x", Incarnation: 1, Sequence: uint64(i), State: pb.NodeState_NODE_STATE_SERVING})
+	}
+	assert.Assert(t, len(d.log.items) <= 2*len(d.entries)+compactionSlack)
+	d.merge(s.now, goneRecord(d.entries["x"].record))
+	d.Tick(s.now + goneRetention)
+	assert.Assert(t, d.entries["x"] != nil)
+	d.Tick(s.now + goneRetention + time.Second)
+	assert.Assert(t, d.entries["x"] == nil)
+}
+
+// Guards against a directory larger than one message.
+func TestLargeDirectoryIsReadInParts(t *testing.T) {
+	s := newSimulation(1, 1, 2)
+	d := s.nodes[0].directory
+	const count = 2000
+	for i := range count {
+		id := s.nodes[0].id + "-" + time.Duration(i).String()
+		d.merge(s.now, &pb.NodeRecord{NodeId: id, DataCentre: "other", BackendServers: simBackends(id, 10)})
+	}
+	s.step()
+	s.step()
+	assert.Equal(t, len(s.nodes[1].directory.entries), count+2)
+}
--- /dev/null
+++ b/membership/log.go
@@ -0,0 +1,78 @@
+package membership
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+)
+
+// maxReplyBytes bounds the records of one Sync reply, so that a joining node
+// reads the directory in several messages well below the message limit.
+const maxReplyBytes = 1 << 20
+
+// compactionSlack keeps small logs from being compacted at each change.
+const compactionSlack = 64
+
+// logItem says that a node's record changed at a position.
+type logItem struct {
+	position uint64
+	nodeID   string
+}
+
+// changeLog holds the order of changes. Only the last item of a node counts.
+type changeLog struct {
+	items []logItem
+	last  uint64
+}
+
+func (l *changeLog) add(nodeID string) uint64 {
+	l.last++
+	l.items = append(l.items, logItem{l.last, nodeID})
+	return l.last
+}
+
+// compact drops items that a later change of the same node replaced.
+func (l *changeLog) compact(entries map[string]*entry) {
+	if len(l.items) <= 2*len(entries)+compactionSlack {
+		return
+	}
+	l.items = slices.DeleteFunc(l.items, func(i logItem) bool {
+		return !i.current(entries)
+	})
+}
+
+func (i logItem) current(entries map[string]*entry) bool {
+	e := entries[i.nodeID]
+	return e != nil && e.position == i.position
+}
+
+// since returns the records changed after position, except those of the node
+// skip, the position read up to, and whether more remain.
+func (l *changeLog) since(position uint64, skip string, entries map[string]*entry) ([]*pb.NodeRecord, uint64, bool) {
+	start, _ := slices.BinarySearchFunc(l.items, position+1, func(i logItem, p uint64) int {
+		if i.position < p {
+			return -1
+		}
+		if i.position > p {
+			return 1
+		}
+		return 0
+	})
+	var records []*pb.NodeRecord
+	size := 0
+	for _, item := range l.items[start:] {
+		if !item.current(entries) || item.nodeID == skip {
+			continue
+		}
+		r := entries[item.nodeID].record
+		size += proto.Size(r)
+		if size > maxReplyBytes && len(records) > 0 {
+			return records, position, true
+		}
+		records = append(records, r)
+		position = item.position
+	}
+	return records, l.last, false
+}
