--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,6 @@
 
 generate:
 	bash scripts/generate.sh
+
+run:
+	bash scripts/run.sh
--- /dev/null
+++ b/cli/change.go
@@ -0,0 +1,192 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/jackdawlane/jackdawlane/config"
+	"github.com/jackdawlane/jackdawlane/hop"
+)
+
+// commit makes a change under the flags' ID, operator and note, or shows it on a dry run.
+func (a *app) commit(ctx context.Context, c config.Change, dryRun bool) error {
+	editor, err := a.editor()
+	if err != nil {
+		return err
+	}
+	c.ID = a.newChangeID()
+	c.Operator = a.operator
+	c.Note = a.note
+	if dryRun {
+		plan, err := editor.DryRun(ctx, c)
+		if err != nil {
+			return err
+		}
+		return a.printDiff(plan.Diff)
+	}
+	version, err := editor.Commit(ctx, c)
+	if err != nil {
+		return a.explainUnknown(err, c.ID)
+	}
+	return a.printVersion(version)
+}
+
+func (a *app) newChangeID() string {
+	if a.changeID != "" {
+		return a.changeID
+	}
+	return hop.NewAttemptID()
+}
+
+// explainUnknown adds the ID with which the same command finds out what became of the change.
+func (a *app) explainUnknown(err error, id string) error {
+	if errors.Is(err, config.ErrOutcomeUnknown) {
+		return errors.Wrapf(err, "run again with --change-id %s", id)
+	}
+	return err
+}
+
+// change is the form of the files of apply and diff.
+type change struct {
+	Upsert config.Upserts `json:"upsert"`
+	Delete config.Deletes `json:"delete"`
+}
+
+func readChange(path string) (config.Change, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return config.Change{}, errors.Mark(err, ErrUsage)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(bytes.TrimPrefix(data, []byte("\ufeff"))))
+	decoder.DisallowUnknownFields()
+	var c change
+	if err := decoder.Decode(&c); err != nil {
+		return config.Change{}, errors.Mark(errors.Wrapf(err, "%s", path), ErrUsage)
+	}
+	return config.Change{Upsert: c.Upsert, Delete: c.Delete}, nil
+}
+
+func (a *app) applyCommand() *cobra.Command {
+	var dryRun bool
+	c := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Apply a JSON file of rows as one change",
+		Long:  "Apply a JSON file as one change. The file has the fields upsert and delete, each with routes, pools and organisations.",
+		Args:  exactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			change, err := readChange(args[0])
+			if err != nil {
+				return err
+			}
+			return a.commit(c.Context(), change, dryRun)
+		},
+	}
+	c.Flags().BoolVar(&dryRun, "dry-run", false, "show what would change, and change nothing")
+	return c
+}
+
+func (a *app) diffCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff FILE | diff FROM TO",
+		Short: "Show what a file would change, or the changes between two versions",
+		Args:  cobra.MatchAll(cobra.MinimumNArgs(1), cobra.MaximumNArgs(2)),
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(args) == 2 {
+				return a.diffVersions(c.Context(), args[0], args[1])
+			}
+			change, err := readChange(args[0])
+			if err != nil {
+				return err
+			}
+			return a.commit(c.Context(), change, true)
+		},
+	}
+}
+
+func (a *app) diffVersions(ctx context.Context, from, to string) error {
+	fromVersion, err := parseVersion(from)
+	if err != nil {
+		return err
+	}
+	toVersion, err := parseVersion(to)
+	if err != nil {
+		return err
+	}
+	editor, err := a.editor()
+	if err != nil {
+		return err
+	}
+	diff, err := editor.Diff(ctx, fromVersion, toVersion)
+	if err != nil {
+		return err
+	}
+	return a.printDiff(diff)
+}
+
+func parseVersion(text string) (uint64, error) {
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, errors.Wrapf(ErrUsage, "version %q is not a whole number", text)
+	}
+	return version, nil
+}
+
+func (a *app) revertCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "revert VERSION",
+		Short: "Take back what one version changed, as a new change",
+		Args:  exactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			version, err := parseVersion(args[0])
+			if err != nil {
+				return err
+			}
+			editor, err := a.editor()
+			if err != nil {
+				return err
+			}
+			id := a.newChangeID()
+			made, err := editor.Revert(c.Context(), id, a.operator, version)
+			if err != nil {
+				return a.explainUnknown(err, id)
+			}
+			return a.printVersion(made)
+		},
+	}
+}
+
+func (a *app) historyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "List the version in force and the changes before it",
+		Args:  exactArgs(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, data, err := a.snapshot(c.Context())
+			if err != nil || data == nil {
+				return err
+			}
+			head, err := config.DecodeHead(data)
+			if err != nil {
+				return err
+			}
+			rows := [][]string{{fmt.Sprint(head.Version), head.Change.ID, head.Change.Operator, head.Change.Note}}
+			for i, ancestor := range head.Ancestors {
+				rows = append(rows, []string{fmt.Sprint(head.Version - uint64(i) - 1), ancestor.ChangeID, "", ""})
+			}
+			return a.print(head, []string{"VERSION", "CHANGE", "OPERATOR", "NOTE"}, rows)
+		},
+	}
+}
+
+func exactArgs(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		return errors.Mark(cobra.ExactArgs(n)(c, args), ErrUsage)
+	}
+}
--- /dev/null
+++ b/cli/root.go
@@ -0,0 +1,169 @@
+// Package cli is the command line of the operators.
+package cli
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/jackdawlane/jackdawlane/config"
+	"github.com/jackdawlane/jackdawlane/control"
+	"github.com/jackdawlane/jackdawlane/objectstore"
+	"github.com/jackdawlane/jackdawlane/settings"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitInvalid     = 2
+	ExitConflict    = 3
+	ExitUnavailable = 4
+	ExitUnknown     = 5
+)
+
+// Environment variables that stand in for flags.
+const (
+	storeVariable = "JACKDAWLANE_STORE"
+	nodeVariable  = "JACKDAWLANE_NODE"
+)
+
+// Errors of the command line.
+var (
+	// ErrUsage marks wrong arguments.
+	ErrUsage = errors.New("wrong usage")
+	// ErrNotFound marks a row or name that does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrNode marks a node that does not answer.
+	ErrNode = errors.New("node not reached")
+)
+
+const longHelp = `jackdawlane edits the routes and pools of a fleet and shows its state.
+
+Exit codes: 0 done; 1 failed; 2 wrong arguments, settings or rows, nothing was changed;
+3 conflict with another operator's change, nothing was changed; 4 store or node not
+reached, nothing was changed; 5 the outcome of the change is unknown: run the same
+command again with the same --change-id to learn it.`
+
+// app holds the flags that all commands share.
+type app struct {
+	store    string
+	node     string
+	output   string
+	operator string
+	changeID string
+	note     string
+	timeout  time.Duration
+	out      io.Writer
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer, build string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	root := newRoot(&app{out: stdout}, build)
+	root.SetArgs(args)
+	root.SetIn(stdin)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		_, _ = io.WriteString(stderr, "jackdawlane: "+err.Error()+"\n")
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.IsAny(err, ErrUsage, ErrNotFound, config.ErrInvalidChange, config.ErrNoVersion, config.ErrChangeIDReused, config.ErrTooLarge, settings.ErrInvalid):
+		return ExitInvalid
+	case errors.Is(err, config.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, config.ErrOutcomeUnknown):
+		return ExitUnknown
+	case errors.IsAny(err, config.ErrUnavailable, ErrNode):
+		return ExitUnavailable
+	}
+	return ExitFailed
+}
+
+func newRoot(a *app, build string) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "jackdawlane",
+		Short:         "Edit and inspect a jackdawlane fleet",
+		Long:          longHelp,
+		Version:       build,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, ErrUsage) })
+	f := root.PersistentFlags()
+	f.StringVar(&a.store, "store", os.Getenv(storeVariable), "IP number and port of the object store; default $"+storeVariable)
+	f.StringVar(&a.node, "node", os.Getenv(nodeVariable), "control address of any node; default $"+nodeVariable)
+	f.StringVar(&a.output, "output", "text", "text or json")
+	f.DurationVar(&a.timeout, "timeout", 10*time.Second, "longest time for the command")
+	f.StringVar(&a.operator, "operator", os.Getenv("USER"), "name recorded with a change")
+	f.StringVar(&a.changeID, "change-id", "", "ID of the change; give it again to repeat a change whose outcome is unknown")
+	f.StringVar(&a.note, "note", "", "note recorded with a change")
+	root.PersistentPreRunE = func(c *cobra.Command, _ []string) error {
+		if a.output != "text" && a.output != "json" {
+			return errors.Wrapf(ErrUsage, "--output %s: want text or json", a.output)
+		}
+		ctx, cancel := context.WithTimeout(c.Context(), a.timeout)
+		c.SetContext(ctx)
+		cobra.OnFinalize(cancel)
+		return nil
+	}
+	root.AddCommand(
+		a.routeCommand(), a.poolCommand(), a.organisationCommand(),
+		a.applyCommand(), a.diffCommand(), a.historyCommand(), a.revertCommand(),
+		a.explainCommand(), a.statusCommand(), a.checkCommand(), a.hashCommand(), a.versionCommand(build),
+	)
+	return root
+}
+
+func (a *app) storeClient() (*objectstore.Client, error) {
+	address, err := netip.ParseAddrPort(a.store)
+	if err != nil {
+		return nil, errors.Wrapf(ErrUsage, "--store %q: want an IP number and port", a.store)
+	}
+	return objectstore.New(address), nil
+}
+
+func (a *app) editor() (*config.Editor, error) {
+	store, err := a.storeClient()
+	if err != nil {
+		return nil, err
+	}
+	return config.NewEditor(store, time.Now), nil
+}
+
+// snapshot reads the configuration in force; it is empty when there is none.
+func (a *app) snapshot(ctx context.Context) (*config.Snapshot, []byte, error) {
+	store, err := a.storeClient()
+	if err != nil {
+		return nil, nil, err
+	}
+	f := config.NewFollower()
+	_, err = config.NewLoader(store).Load(ctx, f)
+	if err != nil && !errors.Is(err, config.ErrNoVersion) {
+		return nil, nil, err
+	}
+	return f.Snapshot(), f.Head(), nil
+}
+
+func (a *app) nodeClient() (*control.Client, string, error) {
+	address, err := netip.ParseAddrPort(a.node)
+	if err != nil {
+		return nil, "", errors.Wrapf(ErrUsage, "--node %q: want an IP number and port", a.node)
+	}
+	return control.NewClient(), address.String(), nil
+}
--- a/cmd/jackdawlane/main.go
+++ b/cmd/jackdawlane/main.go
@@ -1,3 +1,13 @@
+// Command jackdawlane edits and inspects a fleet.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/jackdawlane/jackdawlane/cli"
+	"github.com/jackdawlane/jackdawlane/node"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, node.Build()))
+}
--- a/cmd/jackdawlaned/main.go
+++ b/cmd/jackdawlaned/main.go
@@ -1,3 +1,12 @@
+// Command jackdawlaned runs one node of the fleet.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/jackdawlane/jackdawlane/node"
+)
+
+func main() {
+	os.Exit(node.Main(os.Args[1:], os.Stderr))
+}
--- a/config/follower.go
+++ b/config/follower.go
@@ -50,6 +50,15 @@
 	return p.data, ok
 }
 
+// Pages returns all encoded pages held, in a map of its own that stays as it is.
+func (f *Follower) Pages() map[Hash][]byte {
+	pages := make(map[Hash][]byte, len(f.pages))
+	for hash, p := range f.pages {
+		pages[hash] = p.data
+	}
+	return pages
+}
+
 // Lacking returns the hashes of the pages that the target still needs, sorted.
 func (f *Follower) Lacking() []Hash {
 	hashes := make([]Hash, 0, len(f.lacking))
--- a/control/client.go
+++ b/control/client.go
@@ -49,6 +49,9 @@
 		connect.WithSendMaxBytes(maxMessageBytes))
 }
 
+// HTTPClient returns the client that the calls share.
+func (c *Client) HTTPClient() *http.Client { return c.http }
+
 // Sync sends one Sync within its timeout.
 func (c *Client) Sync(ctx context.Context, address string, r *pb.SyncRequest) (*pb.SyncResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
--- a/control/syncer.go
+++ b/control/syncer.go
@@ -49,6 +49,7 @@
 	snapshot  atomic.Pointer[snapshot]
 	newest    atomic.Pointer[NewestConfig]
 	held      atomic.Uint64
+	relay     atomic.Bool
 }
 
 // NewSyncer returns a syncer for the node with the own record, which joins through seeds.
@@ -98,6 +99,7 @@
 	for _, call := range s.directory.Tick(s.now()) {
 		s.send(ctx, call)
 	}
+	s.relay.Store(s.directory.IsRelay(s.now()))
 }
 
 // send makes the call unless an earlier one to the address is still open.
@@ -167,6 +169,9 @@
 // Newest returns the highest configuration version that a peer reported.
 func (s *Syncer) Newest() NewestConfig { return *s.newest.Load() }
 
+// IsRelay reports whether this node is a relay of its data centre.
+func (s *Syncer) IsRelay() bool { return s.relay.Load() }
+
 // View returns the current view of the backend servers.
 func (s *Syncer) View() *membership.View { return s.snapshot.Load().view }
 
--- /dev/null
+++ b/node/main.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/jackdawlane/jackdawlane/settings"
+	"github.com/jackdawlane/jackdawlane/telemetry"
+)
+
+// Exit codes of the daemon.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+// Main runs the daemon with its command-line arguments and returns the exit code.
+func Main(args []string, stderr io.Writer) int {
+	var path string
+	command := &cobra.Command{
+		Use:           "jackdawlaned",
+		Short:         "Run one node of a jackdawlane fleet",
+		Long:          "Run one node of a jackdawlane fleet.\n\nExit codes: 0 after a planned stop, 1 on failure, 2 when the settings are not valid.",
+		Version:       Build(),
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return run(c.Context(), path, stderr)
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "", "INI file with the settings of the node")
+	_ = command.MarkFlagRequired("settings")
+	command.SetArgs(args)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := command.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = io.WriteString(stderr, "jackdawlaned: "+err.Error()+"\n")
+	if errors.Is(err, settings.ErrInvalid) {
+		return ExitSettings
+	}
+	return ExitFailed
+}
+
+func run(ctx context.Context, path string, stderr io.Writer) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	logger := telemetry.NewLogger(stderr, s.Log).With("node", s.Node.ID)
+	n, err := New(ctx, s, logger, Build())
+	if err != nil {
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go n.reloadOn(ctx, reload, path)
+	return n.Run(ctx)
+}
+
+// reloadOn applies the log level of the settings file at each signal. A file
+// that is not valid leaves the running settings in force; all other settings
+// need a restart, because peers know the node by them.
+func (n *Node) reloadOn(ctx context.Context, reload <-chan os.Signal, path string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		}
+		s, err := settings.Load(path)
+		if err != nil {
+			n.logger.Error("settings not reloaded; the running ones stay in force", "err", err)
+			continue
+		}
+		telemetry.SetLevel(n.logger, s.Log)
+		n.logger.Info("log level reloaded", "level", s.Log.Level)
+	}
+}
+
+// Build returns the version of the program, from its build information.
+func Build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,159 @@
+// Package node assembles a node of the fleet: its traffic roles, its control
+// goroutines and its servers.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/jackdawlane/jackdawlane/attempt"
+	"github.com/jackdawlane/jackdawlane/control"
+	"github.com/jackdawlane/jackdawlane/entry"
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+	"github.com/jackdawlane/jackdawlane/guard"
+	"github.com/jackdawlane/jackdawlane/membership"
+	"github.com/jackdawlane/jackdawlane/objectstore"
+	"github.com/jackdawlane/jackdawlane/settings"
+	"github.com/jackdawlane/jackdawlane/telemetry"
+)
+
+// ErrListen marks an address of the settings that cannot be listened on.
+var ErrListen = errors.New("cannot listen")
+
+// recordInterval is the time between two looks at the announced backend servers.
+const recordInterval = 200 * time.Millisecond
+
+// Node is one process of the fleet.
+type Node struct {
+	settings settings.Settings
+	logger   *log.Logger
+	metrics  *telemetry.Metrics
+	tracing  *telemetry.Tracing
+	client   *control.Client
+	syncer   *control.Syncer
+	config   *configuration
+	guard    *guard.Guard
+	entry    *entry.Entry
+	stopping atomic.Bool
+}
+
+// New returns a node that is not yet running. build names the program's version.
+// It returns an error when the trace exporter cannot be set up.
+func New(ctx context.Context, s settings.Settings, logger *log.Logger, build string) (*Node, error) {
+	tracing, err := telemetry.NewTracing(ctx, s.Trace, s.Node.ID)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings: s,
+		logger:   logger,
+		metrics:  telemetry.NewMetrics(),
+		tracing:  tracing,
+		client:   control.NewClient(),
+	}
+	incarnation := uint64(time.Now().UnixNano())
+	n.syncer = control.NewSyncer(ownRecord(s, incarnation), addresses(s.Peers), n.client)
+	store := objectstore.New(s.Store.Address)
+	n.config = newConfiguration(store, s.Store.Timeout, n.syncer, n.client, logger)
+	n.guard = guard.New(guard.Config{
+		Self:        ownGuard(s, incarnation),
+		MayAnnounce: n.mayAnnounce,
+		Limits:      attempt.DefaultLimits,
+	})
+	n.entry = entry.New(entry.Config{
+		Region:     s.Node.Region,
+		DataCentre: s.Node.DataCentre,
+		Snapshot:   n.config.Snapshot,
+		View:       n.syncer.View,
+		Resolver:   entry.NewControlResolver(n.client.HTTPClient()),
+		Limits:     s.Limit,
+	})
+	n.publishMetrics(build)
+	return n, nil
+}
+
+func (n *Node) mayAnnounce(service, credential string) bool {
+	return n.config.Snapshot().MayAnnounce(service, credential)
+}
+
+func (n *Node) publishMetrics(build string) {
+	n.metrics.Publish("build", func() any { return build })
+	n.metrics.Publish("config_version", func() any { return n.config.Snapshot().Version() })
+	n.metrics.Publish("backend_servers", func() any { return len(n.guard.Backends(time.Now())) })
+	n.metrics.Publish("relay", func() any { return n.syncer.IsRelay() })
+}
+
+// Run serves until ctx ends, then stops within the stop timeout of the
+// settings. It returns ErrListen, control.ErrSuperseded, or the context error
+// of a stop that took too long.
+func (n *Node) Run(ctx context.Context) error {
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(servers)+1)
+	for _, s := range servers {
+		go func() { failed <- s.serve() }()
+	}
+	controlCtx, stopControl := context.WithCancel(context.Background())
+	defer stopControl()
+	go func() { failed <- n.syncer.Run(controlCtx) }()
+	go n.config.run(controlCtx)
+	go n.updateRecord(controlCtx)
+	n.logger.Info("serving", "traffic", n.settings.Node.TrafficAddress)
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	}
+	return errors.CombineErrors(err, n.stop(servers))
+}
+
+// updateRecord keeps the own record in step with the announced backend servers.
+func (n *Node) updateRecord(ctx context.Context) {
+	ticker := time.NewTicker(recordInterval)
+	defer ticker.Stop()
+	for {
+		state := pb.NodeState_NODE_STATE_SERVING
+		if n.stopping.Load() {
+			state = pb.NodeState_NODE_STATE_LEAVING
+		}
+		if err := n.syncer.UpdateOwn(state, wireBackends(n.guard.Backends(time.Now()))); err != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// server is one HTTP server and its listener.
+type server struct {
+	*http.Server
+	listener net.Listener
+}
+
+func (s server) serve() error {
+	if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func ownGuard(s settings.Settings, incarnation uint64) membership.Guard {
+	return membership.Guard{
+		NodeID:         s.Node.ID,
+		Incarnation:    incarnation,
+		Region:         s.Node.Region,
+		DataCentre:     s.Node.DataCentre,
+		HopAddress:     s.Node.HopAdvertise.String(),
+		ControlAddress: s.Node.ControlAdvertise.String(),
+	}
+}
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -12,11 +12,16 @@
 // NewLogger returns a logger that writes to w at the level and in the format of s.
 func NewLogger(w io.Writer, s settings.Log) *log.Logger {
 	logger := log.NewWithOptions(w, log.Options{ReportTimestamp: true})
-	if level, err := log.ParseLevel(s.Level); err == nil {
-		logger.SetLevel(level)
-	}
+	SetLevel(logger, s)
 	if s.Format == "json" {
 		logger.SetFormatter(log.JSONFormatter)
 	}
 	return logger
 }
+
+// SetLevel sets the level of s on a logger.
+func SetLevel(logger *log.Logger, s settings.Log) {
+	if level, err := log.ParseLevel(s.Level); err == nil {
+		logger.SetLevel(level)
+	}
+}
