--- a/attempt/ledger.go
+++ b/attempt/ledger.go
@@ -1,11 +1,11 @@
 // Package attempt records what a guard did with each attempt, so that no
 // attempt is dispatched twice and a lost answer can be accounted for.
 //
-// A record expires Retention after its attempt ended. Expiry is safe because
-// an attempt is taken only within MaxAge of the time at which its entry sent
-// it, by the wall clocks of both nodes: a copy that arrives after its record
-// has expired is too old to be taken. This holds while the clocks of two nodes
-// differ by less than Retention - MaxAge (8 min).
+// A record expires Retention after its attempt ended. Expiry is safe because a
+// guard relies on the absence of a record only within MaxAge of the time at
+// which the entry sent the attempt, by the wall clocks of both nodes. After
+// that it refuses the attempt and resolves it as unknown. This holds while the
+// clocks of two nodes differ by less than Retention - MaxAge.
 package attempt
 
 import (
@@ -19,8 +19,9 @@
 	Retention = 10 * time.Minute
 	// AnswerRetention is how long a retained answer is kept.
 	AnswerRetention = 30 * time.Second
-	// MaxAge bounds the time between the sending of an attempt and its arrival.
-	MaxAge = 2 * time.Minute
+	// MaxAge bounds the time between the sending of an attempt and its arrival or
+	// first resolution. Half of Retention leaves the other half for clock differences.
+	MaxAge = Retention / 2
 )
 
 // Limits bounds the memory of a ledger.
@@ -73,9 +74,11 @@
 	Taken Verdict = iota
 	// RefusedNotRun attempts have a tombstone.
 	RefusedNotRun
-	// RefusedTooOld attempts were sent more than MaxAge ago, or that far in the future.
+	// RefusedTooOld attempts were sent more than MaxAge ago. A copy may have run
+	// and its record expired.
 	RefusedTooOld
-	// RefusedFull attempts found no room for another record.
+	// RefusedFull attempts found no room for another record, so no tombstone
+	// remains. An entry sends no second copy of an attempt that could be taken later.
 	RefusedFull
 	// RefusedDuplicate attempts were taken before and may have run.
 	RefusedDuplicate
@@ -110,14 +113,19 @@
 		}
 		return RefusedDuplicate
 	}
-	// Round strips the monotonic reading, because sent is another node's clock.
-	if age := now.Round(0).Sub(sent); age > MaxAge || age < -MaxAge {
+	if now.Round(0).Sub(sent) > MaxAge {
 		return RefusedTooOld
 	}
 	if len(l.records) >= l.limits.Records {
 		return RefusedFull
 	}
-	l.records[id] = &record{state: Queued}
+	r := &record{state: Queued}
+	l.records[id] = r
+	if !recent(sent, now) {
+		// The clock of the entry is fast: a copy would be recent later.
+		l.end(id, r, NotRun, now)
+		return RefusedNotRun
+	}
 	return Taken
 }
 
@@ -173,13 +181,14 @@
 	l.answers.push(id, now.Add(AnswerRetention))
 }
 
-// Resolve decides an attempt whose answer was lost. An unseen or queued attempt
-// is not run from now on; with no room for its tombstone an unseen one is unknown.
-func (l *Ledger) Resolve(id string, now time.Time) State {
+// Resolve decides an attempt, sent at the wall-clock time sent, whose answer was
+// lost. An unseen or queued attempt is not run from now on. An unseen one is
+// unknown when its record can have expired or its tombstone finds no room.
+func (l *Ledger) Resolve(id string, sent, now time.Time) State {
 	l.expire(now)
 	r, ok := l.records[id]
 	if !ok {
-		if len(l.records) >= l.limits.Records {
+		if len(l.records) >= l.limits.Records || !recent(sent, now) {
 			return Unknown
 		}
 		r = &record{}
@@ -201,6 +210,10 @@
 	return r.answer, true
 }
 
+// recent reports whether sent is within MaxAge of now. Round strips the
+// monotonic reading, because sent comes from the clock of another node.
+func recent(sent, now time.Time) bool { return now.Round(0).Sub(sent).Abs() <= MaxAge }
+
 func (l *Ledger) end(id string, r *record, s State, now time.Time) {
 	r.state = s
 	if s != Answered {
--- /dev/null
+++ b/attempt/ledger_test.go
@@ -0,0 +1,177 @@
+package attempt
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// model follows what a ledger has claimed about each attempt.
+type model struct {
+	ledger     *Ledger
+	limits     Limits
+	now        time.Time
+	sent       map[string]time.Time
+	dispatched map[string]int
+	notRun     map[string]bool
+	reserved   map[string]int
+	bodies     map[string]int
+}
+
+var ids = rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"})
+
+// Guards against an attempt that is dispatched twice, and against "not run" for
+// one that was or later is dispatched. Copies and resolutions may come after
+// expiry, and the clocks differ by less than Retention - MaxAge.
+func TestLedgerKeepsItsWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Records: rapid.IntRange(2, 8).Draw(t, "records"), AnswerBytes: 10, TotalBytes: 25}
+		m := &model{
+			ledger: NewLedger(limits), limits: limits, now: start,
+			sent: map[string]time.Time{}, dispatched: map[string]int{}, notRun: map[string]bool{},
+			reserved: map[string]int{}, bodies: map[string]int{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":         m.check,
+			"arrive":   m.arrive,
+			"dispatch": m.dispatch,
+			"refuse":   m.refuse,
+			"reserve":  m.reserve,
+			"finish":   m.finish,
+			"resolve":  m.resolve,
+			"fetch":    m.fetch,
+			"advance":  m.advance,
+		})
+	})
+}
+
+func (m *model) advance(t *rapid.T) {
+	step := rapid.SampledFrom([]time.Duration{time.Second, AnswerRetention, MaxAge - time.Second, MaxAge, Retention - time.Second, Retention})
+	m.now = m.now.Add(step.Draw(t, "step"))
+}
+
+// send fixes the time of sending by the clock of the entry.
+func (m *model) send(t *rapid.T, id string) {
+	if _, ok := m.sent[id]; ok {
+		return
+	}
+	bound := int64((Retention - MaxAge - time.Second) / time.Second)
+	skew := rapid.OneOf(rapid.Just(int64(0)), rapid.Int64Range(-bound, bound)).Draw(t, "skew")
+	m.sent[id] = m.now.Add(time.Duration(skew) * time.Second)
+}
+
+// arrive delivers the attempt, or another copy of it with the same time of sending.
+func (m *model) arrive(t *rapid.T) {
+	id := ids.Draw(t, "id")
+	m.send(t, id)
+	switch m.ledger.Arrive(id, m.sent[id], m.now) {
+	case Taken:
+		assert.Assert(t, !m.notRun[id], "taken after it was said not to run")
+	case RefusedNotRun:
+		assert.Equal(t, m.dispatched[id], 0)
+		m.notRun[id] = true
+	}
+}
+
+func (m *model) dispatch(t *rapid.T) {
+	id := ids.Draw(t, "id")
+	if !m.ledger.Dispatch(id) {
+		return
+	}
+	m.dispatched[id]++
+	assert.Equal(t, m.dispatched[id], 1)
+	assert.Assert(t, !m.notRun[id], "dispatched after it was said not to run")
+}
+
+// refuse ends an attempt that was not dispatched.
+func (m *model) refuse(t *rapid.T) {
+	id := ids.Draw(t, "id")
+	r, ok := m.ledger.records[id]
+	if !ok || r.state != Queued {
+		return
+	}
+	m.ledger.Refuse(id, m.now)
+	m.notRun[id] = true
+}
+
+func (m *model) reserve(t *rapid.T) {
+	id := ids.Draw(t, "id")
+	n := rapid.IntRange(1, 6).Draw(t, "bytes")
+	if m.ledger.Reserve(id, n, m.now) {
+		m.reserved[id] += n
+		return
+	}
+	m.reserved[id] = 0
+}
+
+func (m *model) finish(t *rapid.T) {
+	id := ids.Draw(t, "id")
+	if r, ok := m.ledger.records[id]; !ok || r.state != Dispatched {
+		return
+	}
+	m.bodies[id] = m.reserved[id]
+	m.ledger.Finish(id, &Answer{Status: http.StatusOK, Body: make([]byte, m.bodies[id])}, m.now)
+}
+
+func (m *model) resolve(t *rapid.T) {
+	id := ids.Draw(t, "id")
+	m.send(t, id)
+	state := m.ledger.Resolve(id, m.sent[id], m.now)
+	if state == NotRun {
+		assert.Equal(t, m.dispatched[id], 0)
+		m.notRun[id] = true
+	}
+	assert.Assert(t, state != Unseen && state != Queued)
+}
+
+func (m *model) fetch(t *rapid.T) {
+	id := ids.Draw(t, "id")
+	a, ok := m.ledger.Answer(id, m.now)
+	if ok {
+		assert.Equal(t, len(a.Body), m.bodies[id])
+		assert.Equal(t, m.dispatched[id], 1)
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	total := 0
+	for _, r := range m.ledger.records {
+		total += r.reserved
+		assert.Assert(t, r.reserved <= m.limits.AnswerBytes)
+		assert.Equal(t, r.answer != nil, r.state == Answered)
+	}
+	assert.Equal(t, total, m.ledger.retained)
+	assert.Assert(t, total <= m.limits.TotalBytes)
+	assert.Assert(t, len(m.ledger.records) <= m.limits.Records)
+}
+
+// Guards against answers and records that are kept for ever.
+func TestExpiry(t *testing.T) {
+	l := NewLedger(DefaultLimits)
+	assert.Equal(t, l.Arrive("a", start, start), Taken)
+	assert.Assert(t, l.Dispatch("a"))
+	assert.Assert(t, l.Reserve("a", 2, start))
+	l.Finish("a", &Answer{Body: []byte("ok")}, start)
+	assert.Equal(t, l.Resolve("a", start, start.Add(AnswerRetention-1)), Answered)
+	assert.Equal(t, l.Resolve("a", start, start.Add(AnswerRetention)), Unknown)
+	assert.Equal(t, l.retained, 0)
+	_, ok := l.Answer("a", start.Add(AnswerRetention))
+	assert.Assert(t, !ok)
+	assert.Equal(t, l.Arrive("a", start, start.Add(Retention)), RefusedTooOld)
+}
+
+// Guards against an attempt that runs although its entry was told not run.
+func TestTombstoneRefusesLateArrival(t *testing.T) {
+	l := NewLedger(DefaultLimits)
+	assert.Equal(t, l.Resolve("unseen", start, start), NotRun)
+	assert.Equal(t, l.Arrive("unseen", start, start), RefusedNotRun)
+	assert.Equal(t, l.Arrive("queued", start, start), Taken)
+	assert.Equal(t, l.Resolve("queued", start, start), NotRun)
+	assert.Assert(t, !l.Dispatch("queued"))
+	assert.Equal(t, l.Arrive("queued", start, start), RefusedNotRun)
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -36,7 +36,7 @@
 // attempt makes one attempt. It returns nil when the caller has its reply, and
 // aborts the caller's connection when a reply that has begun cannot be completed.
 func (t *task) attempt(w http.ResponseWriter, r *http.Request, b membership.Backend, force bool) *refusal {
-	y := &try{task: t, id: hop.NewAttemptID(), backend: b, w: w, r: r}
+	y := &try{task: t, id: hop.NewAttemptID(time.Now()), backend: b, w: w, r: r}
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(hopGrace))
 	defer cancel()
 	out, sending := exchange.NewRequest(ctx, r, b.Guard.HopAddress, t.body.reader())
@@ -53,6 +53,8 @@
 		return f
 	}
 	if err != nil {
+		// Waits until a Read that failed has said why.
+		sending.Close()
 		return y.lost()
 	}
 	defer res.Body.Close()
@@ -68,8 +70,7 @@
 	if y.body.rest != nil {
 		h.Set("Expect", "100-continue")
 	}
-	now := time.Now()
-	left := max(y.deadline.Sub(now)/time.Millisecond, 1)
+	left := max(time.Until(y.deadline)/time.Millisecond, 1)
 	h.Set(hop.HeaderAttempt, y.id)
 	h.Set(hop.HeaderBackendServer, y.backend.ID)
 	h.Set(hop.HeaderService, y.backend.Service)
@@ -77,7 +78,6 @@
 	h.Set(hop.HeaderRoute, y.route.Name)
 	h.Set(hop.HeaderIdempotent, strconv.FormatBool(y.route.Idempotent))
 	h.Set(hop.HeaderTimeoutMS, strconv.FormatInt(int64(left), 10))
-	h.Set(hop.HeaderSentMS, strconv.FormatInt(now.UnixMilli(), 10))
 	h.Set(hop.HeaderConfigVersion, strconv.FormatUint(y.version, 10))
 	if force {
 		h.Set(hop.HeaderForce, "true")
@@ -136,12 +136,9 @@
 // lost finds out what became of an attempt without a reply.
 func (y *try) lost() *refusal {
 	if y.r.Context().Err() != nil {
+		// A read deadline on the body ends this context too.
 		y.cancel()
-		return unknown(hop.ReasonCancelled, "the caller has gone")
-	}
-	if y.body.stalled() {
-		y.cancel()
-		return unknown(hop.ReasonTimeout, "the request body made no progress")
+		return unknown(y.endReason(), "the caller has gone or its request body made no progress")
 	}
 	if y.route.Idempotent {
 		return unknown(y.lostReason(), "the answer was lost")
@@ -160,6 +157,13 @@
 	return unknown(y.lostReason(), "the answer was lost and the work may have run")
 }
 
+func (y *try) endReason() hop.Reason {
+	if y.body.stalled() || !time.Now().Before(y.deadline) {
+		return hop.ReasonTimeout
+	}
+	return hop.ReasonCancelled
+}
+
 func (y *try) lostReason() hop.Reason {
 	if time.Now().Before(y.deadline) {
 		return hop.ReasonAnswerLost
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,9 +131,6 @@
 	if r.Method == http.MethodConnect {
 		return notRun(http.StatusBadRequest, hop.ReasonBadRequest, "CONNECT is not supported")
 	}
-	if r.ContentLength > 0 && len(r.TransferEncoding) > 0 || len(r.Header.Values("Content-Length")) > 1 {
-		return notRun(http.StatusBadRequest, hop.ReasonBadRequest, "the length of the body is ambiguous")
-	}
 	if headerBytes(r) > maxHeaderBytes {
 		return notRun(http.StatusRequestHeaderFieldsTooLarge, hop.ReasonBadRequest, "the headers are too large")
 	}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -70,14 +71,25 @@
 	url    string
 	mu     sync.Mutex
 	picked []string
+	// first is the address of the backend server to choose when it is a candidate.
+	first string
+	// frozen replaces the current view.
+	frozen *membership.View
 }
 
-// Pick chooses the first candidate, so that tests know where work goes.
+// Pick makes the choice known to tests.
 func (f *fleet) Pick(bs []membership.Backend) membership.Backend {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.picked = append(f.picked, bs[0].ID)
-	return bs[0]
+	i := max(slices.IndexFunc(bs, func(b membership.Backend) bool { return b.Address == f.first }), 0)
+	f.picked = append(f.picked, bs[i].ID)
+	return bs[i]
+}
+
+func (f *fleet) picks() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.picked)
 }
 
 func snapshot() *config.Snapshot {
@@ -171,8 +183,10 @@
 	return f
 }
 
-// view lists the backend servers node by node, in the order of the nodes.
 func (f *fleet) view() *membership.View {
+	if f.frozen != nil {
+		return f.frozen
+	}
 	var all []membership.Backend
 	for _, n := range f.nodes {
 		all = append(all, n.guard.Backends(time.Now())...)
@@ -203,6 +217,22 @@
 	broken error
 }
 
+// start sends r in the background.
+func (f *fleet) start(r *http.Request) <-chan response {
+	done := make(chan response, 1)
+	go func() {
+		res, err := client.Do(r)
+		if err != nil {
+			done <- response{broken: err}
+			return
+		}
+		defer res.Body.Close()
+		body, err := io.ReadAll(res.Body)
+		done <- response{res, string(body), err}
+	}()
+	return done
+}
+
 func (f *fleet) do(r *http.Request) response {
 	f.t.Helper()
 	res, err := client.Do(r)
--- a/entry/plug.go
+++ b/entry/plug.go
@@ -56,32 +56,33 @@
 }
 
 const (
-	// retryShare is the share of requests that may be retried after an unknown outcome.
-	retryShare = 0.1
+	// requestsPerRetry allows retries after unknown outcomes for 10 % of requests.
+	requestsPerRetry = 10
 	// maxSavedRetries bounds the burst of retries after a quiet time.
 	maxSavedRetries = 10
 )
 
 // shareBudget allows retries as a share of requests.
 type shareBudget struct {
-	mu    sync.Mutex
-	saved float64
+	mu sync.Mutex
+	// saved counts requests that no retry has used yet.
+	saved int
 }
 
 // Request implements Budget.
 func (b *shareBudget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(b.saved+retryShare, maxSavedRetries)
+	b.saved = min(b.saved+1, maxSavedRetries*requestsPerRetry)
 }
 
 // TakeRetry implements Budget.
 func (b *shareBudget) TakeRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.saved < 1 {
+	if b.saved < requestsPerRetry {
 		return false
 	}
-	b.saved--
+	b.saved -= requestsPerRetry
 	return true
 }
--- a/guard/calls.go
+++ b/guard/calls.go
@@ -78,10 +78,10 @@
 
 // resolve decides the attempt; an attempt that was queued is cancelled.
 // done is closed at the end of an attempt in progress.
-func (c *calls) resolve(id string) (s attempt.State, done <-chan struct{}) {
+func (c *calls) resolve(id string, sent time.Time) (s attempt.State, done <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s = c.ledger.Resolve(id, time.Now())
+	s = c.ledger.Resolve(id, sent, time.Now())
 	active := c.active[id]
 	if s == attempt.NotRun && active.cancel != nil {
 		active.cancel()
@@ -90,10 +90,10 @@
 }
 
 // cancel resolves the attempt and ends it if it is in progress.
-func (c *calls) cancel(id string) {
+func (c *calls) cancel(id string, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ledger.Resolve(id, time.Now())
+	c.ledger.Resolve(id, sent, time.Now())
 	if active, ok := c.active[id]; ok {
 		active.cancel()
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -76,7 +76,9 @@
 // ServeHTTP takes one attempt.
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if id := r.Header.Get(hop.HeaderCancel); id != "" {
-		g.calls.cancel(id)
+		if sent, ok := hop.AttemptSent(id); ok {
+			g.calls.cancel(id, sent)
+		}
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
@@ -182,7 +184,7 @@
 	case attempt.RefusedDuplicate:
 		g.fail(w, j, http.StatusBadGateway, hop.OutcomeUnknown, hop.ReasonDuplicate)
 	case attempt.RefusedTooOld:
-		g.fail(w, j, http.StatusServiceUnavailable, hop.OutcomeNotRun, hop.ReasonTimeout)
+		g.fail(w, j, http.StatusGatewayTimeout, hop.OutcomeUnknown, hop.ReasonTimeout)
 	case attempt.RefusedFull:
 		g.fail(w, j, http.StatusServiceUnavailable, hop.OutcomeNotRun, hop.ReasonFull)
 	default:
--- /dev/null
+++ b/guard/guard_test.go
@@ -0,0 +1,226 @@
+package guard
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/attempt"
+	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/membership"
+)
+
+const incarnation = 7
+
+type fixture struct {
+	t       *testing.T
+	guard   *Guard
+	hop     string
+	backend string
+	runs    atomic.Int32
+	// proceed lets the backend server answer.
+	proceed chan struct{}
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, proceed: make(chan struct{})}
+	f.guard = New(Config{
+		Self:        membership.Guard{Incarnation: incarnation},
+		MayAnnounce: func(_, credential string) bool { return credential == "good" },
+		Limits:      attempt.DefaultLimits,
+	})
+	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.runs.Add(1)
+		select {
+		case <-f.proceed:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+		w.Write([]byte("answer"))
+	}))
+	t.Cleanup(b.Close)
+	f.backend = strings.TrimPrefix(b.URL, "http://")
+	h := httptest.NewServer(f.guard)
+	t.Cleanup(h.Close)
+	f.hop = h.URL
+	assert.Equal(t, f.announce("good", f.backend, membership.StateReady), http.StatusNoContent)
+	return f
+}
+
+func (f *fixture) announce(credential, address string, state membership.State) int {
+	body := fmt.Sprintf(`{"service":"s","address":%q,"slots":1,"connections":1,"state":%q,"credential":%q}`, address, state, credential)
+	w := httptest.NewRecorder()
+	f.guard.AnnounceHandler().ServeHTTP(w, httptest.NewRequest("POST", "/v1/announce", strings.NewReader(body)))
+	return w.Code
+}
+
+func (f *fixture) request(ctx context.Context, id string) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, "POST", f.hop+"/", strings.NewReader("body"))
+	assert.NilError(f.t, err)
+	r.Header.Set(hop.HeaderAttempt, id)
+	r.Header.Set(hop.HeaderBackendServer, membership.BackendID("s", f.backend))
+	r.Header.Set(hop.HeaderService, "s")
+	r.Header.Set(hop.HeaderTimeoutMS, "20000")
+	return r
+}
+
+func (f *fixture) do(id string) (hop.Outcome, hop.Reason) {
+	res, err := http.DefaultClient.Do(f.request(context.Background(), id))
+	if err != nil {
+		return "", ""
+	}
+	defer res.Body.Close()
+	return hop.Outcome(res.Header.Get(hop.HeaderOutcome)), hop.Reason(res.Header.Get(hop.HeaderReason))
+}
+
+func (f *fixture) resolve(id string) attempt.State {
+	return f.guard.Resolve(context.Background(), id, incarnation, 0)
+}
+
+func (f *fixture) until(what string, condition func() bool) {
+	f.t.Helper()
+	for start := time.Now(); !condition(); time.Sleep(time.Millisecond) {
+		if time.Since(start) > 20*time.Second {
+			f.t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+func (f *fixture) load() int {
+	used, _ := f.guard.config.Admission.Load(membership.BackendID("s", f.backend))
+	return used
+}
+
+// Guards against a second dispatch of a copy, and against "not run" for an attempt that runs.
+func TestCopyOfAttemptIsNotDispatched(t *testing.T) {
+	f := newFixture(t)
+	id := hop.NewAttemptID(time.Now())
+	done := make(chan hop.Outcome, 1)
+	go func() {
+		o, _ := f.do(id)
+		done <- o
+	}()
+	f.until("running", func() bool { return f.runs.Load() == 1 })
+	outcome, reason := f.do(id)
+	assert.Equal(t, outcome, hop.OutcomeUnknown)
+	assert.Equal(t, reason, hop.ReasonDuplicate)
+	assert.Equal(t, f.resolve(id), attempt.Dispatched)
+	close(f.proceed)
+	assert.Equal(t, <-done, hop.OutcomeAnswer)
+	a, ok := f.guard.FetchAnswer(id, incarnation)
+	assert.Assert(t, ok)
+	assert.Equal(t, string(a.Body), "answer")
+	assert.Equal(t, f.guard.Resolve(context.Background(), id, incarnation+1, 0), attempt.Unknown)
+	outcome, _ = f.do(id)
+	assert.Equal(t, outcome, hop.OutcomeUnknown)
+	assert.Equal(t, f.runs.Load(), int32(1))
+}
+
+// Guards against queued work that is dispatched after its resolution, and
+// against unseen work that arrives after it.
+func TestResolvedWorkIsNeverDispatched(t *testing.T) {
+	f := newFixture(t)
+	go f.do(hop.NewAttemptID(time.Now()))
+	f.until("running", func() bool { return f.runs.Load() == 1 })
+	queued, unseen := hop.NewAttemptID(time.Now()), hop.NewAttemptID(time.Now())
+	done := make(chan hop.Outcome, 1)
+	go func() {
+		o, _ := f.do(queued)
+		done <- o
+	}()
+	f.until("queued", func() bool { return f.load() == 2 })
+	assert.Equal(t, f.resolve(queued), attempt.NotRun)
+	assert.Equal(t, f.resolve(unseen), attempt.NotRun)
+	assert.Equal(t, <-done, hop.OutcomeNotRun)
+	close(f.proceed)
+	for _, id := range []string{queued, unseen} {
+		outcome, _ := f.do(id)
+		assert.Equal(t, outcome, hop.OutcomeNotRun)
+	}
+	assert.Equal(t, f.runs.Load(), int32(1))
+}
+
+// Guards against queued work that runs after the entry's connection is lost,
+// and against dispatched work that stops with it.
+func TestLossOfEntryConnection(t *testing.T) {
+	f := newFixture(t)
+	first, second := hop.NewAttemptID(time.Now()), hop.NewAttemptID(time.Now())
+	firstCtx, loseFirst := context.WithCancel(context.Background())
+	go http.DefaultClient.Do(f.request(firstCtx, first))
+	f.until("running", func() bool { return f.runs.Load() == 1 })
+	secondCtx, loseSecond := context.WithCancel(context.Background())
+	go http.DefaultClient.Do(f.request(secondCtx, second))
+	f.until("queued", func() bool { return f.load() == 2 })
+	loseSecond()
+	f.until("queue is empty", func() bool { return f.load() == 1 })
+	loseFirst()
+	close(f.proceed)
+	f.until("answer is retained", func() bool { return f.resolve(first) == attempt.Answered })
+	assert.Equal(t, f.resolve(second), attempt.NotRun)
+	assert.Equal(t, f.runs.Load(), int32(1))
+}
+
+// Guards against a dial failure that counts as unknown, and unknown for which a byte was sent.
+func TestDialFailureIsNotRun(t *testing.T) {
+	f := newFixture(t)
+	l := httptest.NewServer(nil)
+	l.Close()
+	f.backend = strings.TrimPrefix(l.URL, "http://")
+	assert.Equal(t, f.announce("good", f.backend, membership.StateReady), http.StatusNoContent)
+	outcome, reason := f.do(hop.NewAttemptID(time.Now()))
+	assert.Equal(t, outcome, hop.OutcomeNotRun)
+	assert.Equal(t, reason, hop.ReasonUnreachable)
+}
+
+// Guards against announcements without a right to them, and against backend
+// servers that stay listed after they fell silent.
+func TestAnnouncements(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.announce("bad", f.backend, membership.StateReady), http.StatusForbidden)
+	assert.Equal(t, f.announce("good", "localhost:1", membership.StateReady), http.StatusBadRequest)
+	assert.Equal(t, f.announce("good", f.backend, "gone"), http.StatusBadRequest)
+	now := time.Now()
+	assert.Equal(t, len(f.guard.Backends(now)), 1)
+	assert.Equal(t, len(f.guard.Backends(now.Add(announceExpiry))), 0)
+	f.guard.Stop()
+	assert.Equal(t, f.announce("good", f.backend, membership.StateReady), http.StatusServiceUnavailable)
+}
+
+// Guards against a queue that is not first in first out, has no bound, or loses slots.
+func TestSlots(t *testing.T) {
+	s := newSlots()
+	w := Work{BackendID: "b"}
+	release, reason := s.Admit(context.Background(), w, 1)
+	assert.Equal(t, reason, hop.Reason(""))
+	order := make(chan int, queuePerSlot)
+	for i := range queuePerSlot {
+		turn, ok := s.enter("b", 1)
+		assert.Assert(t, ok)
+		go func() {
+			<-turn
+			order <- i
+			s.release("b")
+		}()
+	}
+	_, reason = s.Admit(context.Background(), w, 1)
+	assert.Equal(t, reason, hop.ReasonFull)
+	release()
+	for i := range queuePerSlot {
+		assert.Equal(t, <-order, i)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	release, _ = s.Admit(ctx, w, 1)
+	cancel()
+	_, reason = s.Admit(ctx, w, 1)
+	assert.Equal(t, reason, hop.ReasonCancelled)
+	release()
+	used, _ := s.Load("b")
+	assert.Equal(t, used, 0)
+}
--- a/guard/work.go
+++ b/guard/work.go
@@ -9,15 +9,13 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/route"
 )
 
 // ErrBadHop marks a hop request with a missing or malformed header.
 var ErrBadHop = errors.New("malformed hop request")
 
-const (
-	maxAttemptIDBytes = 64
-	maxTimeoutMS      = int64(time.Hour / time.Millisecond)
-)
+const maxTimeoutMS = int64(route.MaxTimeout / time.Millisecond)
 
 // job is an attempt as the hop headers describe it.
 type job struct {
@@ -40,19 +38,15 @@
 		service: h.Get(hop.HeaderService),
 		force:   h.Get(hop.HeaderForce) == "true",
 	}
-	if j.id == "" || len(j.id) > maxAttemptIDBytes {
+	var ok bool
+	if j.sent, ok = hop.AttemptSent(j.id); !ok {
 		return j, errors.Wrap(ErrBadHop, hop.HeaderAttempt)
 	}
 	timeout, err := strconv.ParseInt(h.Get(hop.HeaderTimeoutMS), 10, 64)
 	if err != nil || timeout <= 0 || timeout > maxTimeoutMS {
 		return j, errors.Wrap(ErrBadHop, hop.HeaderTimeoutMS)
 	}
-	sent, err := strconv.ParseInt(h.Get(hop.HeaderSentMS), 10, 64)
-	if err != nil {
-		return j, errors.Wrap(ErrBadHop, hop.HeaderSentMS)
-	}
 	j.Deadline = now.Add(time.Duration(timeout) * time.Millisecond)
-	j.sent = time.UnixMilli(sent)
 	return j, nil
 }
 
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 )
 
 // HeaderPrefix starts every header of the project. Headers with this prefix
@@ -24,8 +26,6 @@
 	HeaderForce          = "Jackdawlane-Force"
 	HeaderConfigVersion  = "Jackdawlane-Config-Version"
 	HeaderIdempotencyKey = "Jackdawlane-Idempotency-Key"
-	// HeaderSentMS is the entry's wall-clock time of sending, in Unix milliseconds.
-	HeaderSentMS = "Jackdawlane-Sent-Ms"
 	// HeaderCancel marks a request that only cancels the attempt it names, because its caller has gone.
 	HeaderCancel = "Jackdawlane-Cancel"
 )
@@ -81,11 +81,23 @@
 // attemptIDBytes makes attempt IDs unguessable and free of collisions.
 const attemptIDBytes = 16
 
-// NewAttemptID returns a random attempt ID in hex.
-func NewAttemptID() string {
+// NewAttemptID returns a random attempt ID in hex, followed by '-' and the
+// wall-clock time of sending in Unix milliseconds. The time tells a guard
+// whether its record of the attempt can have expired.
+func NewAttemptID(sent time.Time) string {
 	var b [attemptIDBytes]byte
 	rand.Read(b[:])
-	return hex.EncodeToString(b[:])
+	return hex.EncodeToString(b[:]) + "-" + strconv.FormatInt(sent.UnixMilli(), 10)
+}
+
+// AttemptSent returns the time of sending in an attempt ID.
+func AttemptSent(id string) (time.Time, bool) {
+	random, ms, _ := strings.Cut(id, "-")
+	sent, err := strconv.ParseInt(ms, 10, 64)
+	if err != nil || len(random) != hex.EncodedLen(attemptIDBytes) {
+		return time.Time{}, false
+	}
+	return time.UnixMilli(sent), true
 }
 
 // DropProjectHeaders removes every header of the project from h.
