--- /dev/null
+++ b/health/judge.go
@@ -0,0 +1,298 @@
+// Package health judges backend servers on real work against the other backend
+// servers of the same service. It is pure: time is a parameter.
+package health
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Outcome is the result of a piece of work that reached the backend server.
+// Path faults and callers that went away are not outcomes and must not be observed.
+type Outcome int
+
+// Outcomes of work.
+const (
+	OK Outcome = iota
+	Failed
+	// Shed is a refusal under load. It is evidence of neither health nor failure.
+	Shed
+)
+
+const (
+	// settleDelay lets the baseline of the same moment arrive before work counts for ejection.
+	settleDelay = 2 * time.Second
+	// baselineLifetime is the age at which a baseline no longer supports ejection.
+	baselineLifetime = 3 * time.Second
+	// maxPending bounds the unsettled work of one backend server.
+	maxPending = 1024
+)
+
+// Judge holds the evidence of one guard on its backend servers. It is not safe for concurrent use.
+type Judge struct {
+	services map[string]*service
+	backends map[string]*backend
+	advanced time.Duration
+}
+
+type service struct {
+	backends map[string]*backend
+	remote   map[string]*window
+	merged   time.Duration
+	known    bool
+}
+
+type backend struct {
+	service *service
+	routes  map[string]*record
+	pending []observation
+	// base is the steering evidence without the pending work, live includes it.
+	base, live evidence
+	settled    evidence
+	suspect    bool
+	above      bool
+	aboveSince time.Duration
+}
+
+// record is the work of one backend server on one route.
+type record struct {
+	total, counted RouteCounters
+	recent         window
+	expected       expectation
+	valid          bool
+}
+
+type observation struct {
+	at     time.Duration
+	record *record
+	route  string
+	failed bool
+	bucket int
+}
+
+// Verdict is the state of one backend server.
+type Verdict struct {
+	// Suspect asks the guard to steer new work away.
+	Suspect bool
+	// EjectionCandidate asks for an ejection permit.
+	EjectionCandidate bool
+	// Failure and Slowness are the steering evidence in nats.
+	Failure, Slowness float64
+}
+
+// NewJudge returns a judge without evidence.
+func NewJudge() *Judge {
+	return &Judge{services: make(map[string]*service), backends: make(map[string]*backend)}
+}
+
+// Observe takes the result of one piece of work and reports whether it was good:
+// neither shed, nor failed, nor slow for its route. Latency excludes time in the guard's queue.
+func (j *Judge) Observe(now time.Duration, backendID, serviceName, route string, outcome Outcome, latency time.Duration) bool {
+	if outcome == Shed {
+		return false
+	}
+	b := j.backend(backendID, serviceName)
+	r := b.record(route)
+	r.total.count(outcome, latency)
+	o := observation{at: now, record: r, route: route, failed: outcome == Failed, bucket: Bucket(latency)}
+	if len(b.pending) >= maxPending {
+		b.settle(now-settleDelay, false)
+	}
+	if len(b.pending) < maxPending {
+		b.pending = append(b.pending, o)
+	}
+	x := b.expect(o)
+	b.live.add(o, x, steeringCap)
+	b.steer()
+	return !o.failed && !x.slow(o.bucket)
+}
+
+// MergeBaseline takes the work of the other guards of a service in the latest interval.
+func (j *Judge) MergeBaseline(now time.Duration, serviceName string, counters []RouteCounters) {
+	s := j.service(serviceName)
+	for _, c := range counters {
+		w := s.remote[c.Route]
+		if w == nil {
+			w = new(window)
+			s.remote[c.Route] = w
+		}
+		w.add(c)
+	}
+	s.merged = now
+	s.known = true
+}
+
+// Advance moves the windows and scores recent work again with the baselines now
+// known. The owner calls it about once a second, after MergeBaseline.
+func (j *Judge) Advance(now time.Duration) {
+	elapsed := now - j.advanced
+	j.advanced = now
+	for _, s := range j.services {
+		s.advance(now, elapsed)
+	}
+}
+
+// Verdict returns the state of a backend server; the zero value when it is unknown.
+func (j *Judge) Verdict(now time.Duration, backendID string) Verdict {
+	b := j.backends[backendID]
+	if b == nil {
+		return Verdict{}
+	}
+	return Verdict{
+		Suspect:           b.suspect,
+		EjectionCandidate: b.above && now-b.aboveSince >= ejectAfter && b.service.fresh(now),
+		Failure:           b.live.failure,
+		Slowness:          b.live.slowness,
+	}
+}
+
+// Counters returns the cumulative counters of the guard's backend servers of a service, sorted.
+func (j *Judge) Counters(serviceName string) []BackendCounters {
+	s := j.services[serviceName]
+	if s == nil {
+		return nil
+	}
+	var all []BackendCounters
+	for _, id := range slices.Sorted(maps.Keys(s.backends)) {
+		routes := make(map[string]RouteCounters)
+		for name, r := range s.backends[id].routes {
+			routes[name] = r.total
+		}
+		all = append(all, BackendCounters{BackendID: id, Routes: sortedRoutes(routes)})
+	}
+	return all
+}
+
+// Forget drops a backend server that has left the guard.
+func (j *Judge) Forget(backendID string) {
+	b := j.backends[backendID]
+	if b == nil {
+		return
+	}
+	delete(j.backends, backendID)
+	delete(b.service.backends, backendID)
+}
+
+func (j *Judge) service(name string) *service {
+	s := j.services[name]
+	if s == nil {
+		s = &service{backends: make(map[string]*backend), remote: make(map[string]*window)}
+		j.services[name] = s
+	}
+	return s
+}
+
+func (j *Judge) backend(id, serviceName string) *backend {
+	b := j.backends[id]
+	if b == nil {
+		s := j.service(serviceName)
+		b = &backend{service: s, routes: make(map[string]*record)}
+		j.backends[id] = b
+		s.backends[id] = b
+	}
+	return b
+}
+
+func (s *service) fresh(now time.Duration) bool {
+	return s.known && now-s.merged <= baselineLifetime
+}
+
+func (s *service) advance(now, elapsed time.Duration) {
+	for route, w := range s.remote {
+		w.decay(elapsed)
+		if w.long.requests < 0.01 {
+			delete(s.remote, route)
+		}
+	}
+	for _, b := range s.backends {
+		b.rotate(elapsed)
+	}
+	for _, b := range s.backends {
+		b.rescore(now, elapsed)
+	}
+}
+
+// rotate moves the work since the last call into the windows.
+func (b *backend) rotate(elapsed time.Duration) {
+	for _, r := range b.routes {
+		r.recent.decay(elapsed)
+		r.recent.add(r.total.since(r.counted))
+		r.counted = r.total.clone()
+		r.valid = false
+	}
+}
+
+// rescore settles work old enough and scores the rest with the present baseline.
+func (b *backend) rescore(now, elapsed time.Duration) {
+	b.base.fade(steeringFade * elapsed.Seconds())
+	b.settle(now-settleDelay, b.service.fresh(now))
+	b.live = b.base
+	for _, o := range b.pending {
+		b.live.add(o, b.expect(o), steeringCap)
+	}
+	b.steer()
+	b.track(now)
+}
+
+// settle makes the work up to a time final. Without a fresh baseline it does not count for ejection.
+func (b *backend) settle(until time.Duration, fresh bool) {
+	n := 0
+	for _, o := range b.pending {
+		if o.at > until {
+			break
+		}
+		b.base.add(o, b.expect(o), steeringCap)
+		if fresh {
+			b.settled.add(o, b.expect(o), ejectionCap)
+		}
+		n++
+	}
+	b.pending = slices.Delete(b.pending, 0, n)
+}
+
+func (b *backend) steer() {
+	if b.suspect {
+		b.suspect = b.live.highest() >= trustedBelow
+		return
+	}
+	b.suspect = b.live.highest() >= suspectAbove
+}
+
+func (b *backend) track(now time.Duration) {
+	above := b.settled.highest() >= ejectAbove
+	if above && !b.above {
+		b.aboveSince = now
+	}
+	b.above = above
+}
+
+func (b *backend) record(route string) *record {
+	r := b.routes[route]
+	if r == nil {
+		r = &record{total: RouteCounters{Route: route}}
+		b.routes[route] = r
+	}
+	return r
+}
+
+// expect returns the baseline of the route over all other backend servers of the service.
+func (b *backend) expect(o observation) expectation {
+	if o.record.valid {
+		return o.record.expected
+	}
+	var sum window
+	if w := b.service.remote[o.route]; w != nil {
+		sum.addWindow(w)
+	}
+	// The order is fixed so that sums of floating-point numbers replay exactly.
+	for _, id := range slices.Sorted(maps.Keys(b.service.backends)) {
+		other := b.service.backends[id]
+		if r := other.routes[o.route]; other != b && r != nil {
+			sum.addWindow(&r.recent)
+		}
+	}
+	o.record.expected = sum.expectation()
+	o.record.valid = true
+	return o.record.expected
+}
