--- /dev/null
+++ b/balance/picker.go
@@ -0,0 +1,198 @@
+// Package balance chooses the backend server of an attempt at an entry. It is
+// pure: time and randomness are parameters.
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/membership"
+)
+
+const (
+	// choices is the number of random candidates compared. More than two gain
+	// little and draw more entries to a backend server that reports too low a load.
+	choices = 2
+	// spillLoad is the load at which a nearer ring is left for the next one:
+	// all slots are in use.
+	spillLoad = 1.0
+	// spillGain is how much lower the load of the farther ring must be, so that
+	// traffic does not alternate between rings of similar load.
+	spillGain = 0.25
+)
+
+// Ring is the distance of a backend server from the entry.
+type Ring int
+
+// The rings, the nearest first.
+const (
+	RingDataCentre Ring = iota
+	RingRegion
+	RingOther
+	rings
+)
+
+// tier orders backend servers by condition. Those of a later tier are used
+// only when no earlier one is left.
+type tier int
+
+const (
+	tierReady tier = iota
+	tierStarting
+	tierSuspect
+	// tierRefused holds those that refused this request as suspect. They are
+	// tried again with Force.
+	tierRefused
+	tierNoPath
+	tierEjected
+	tiers
+	unusable
+)
+
+// Location is that of the entry.
+type Location struct{ Region, DataCentre string }
+
+// Attempt describes the attempt to place.
+type Attempt struct {
+	// Tried holds the backend servers already tried for the request, with the
+	// reason of each refusal.
+	Tried map[string]hop.Reason
+	// Bytes is the expected size of request and reply.
+	Bytes int64
+}
+
+// Choice is the chosen backend server.
+type Choice struct {
+	Backend membership.Backend
+	Ring    Ring
+	// Force asks the guard to serve although it steers work away.
+	Force bool
+}
+
+// Picker chooses among the backend servers of one service. It is not safe for
+// concurrent use.
+type Picker struct {
+	at    Location
+	paths *Paths
+	bytes *Bytes
+	loads loads
+}
+
+// NewPicker returns a picker. Paths and bytes are shared by the pickers of an entry.
+func NewPicker(at Location, paths *Paths, bytes *Bytes) *Picker {
+	return &Picker{at: at, paths: paths, bytes: bytes, loads: loads{byID: make(map[string]*backend)}}
+}
+
+// Pick chooses a backend server and counts the attempt as in flight. It
+// returns false when none is left. End must follow each choice.
+func (p *Picker) Pick(now time.Duration, rng *rand.Rand, candidates []membership.Backend, a Attempt) (Choice, bool) {
+	p.loads.sweep(now)
+	groups := p.group(now, candidates, a)
+	for t := range tiers {
+		best := p.spill(now, rng, &groups[t])
+		if best == nil {
+			continue
+		}
+		p.begin(now, best, a)
+		force := t == tierSuspect || t == tierRefused || t == tierEjected
+		return Choice{Backend: *best, Ring: p.ring(best), Force: force}, true
+	}
+	return Choice{}, false
+}
+
+// End records the end of an attempt.
+func (p *Picker) End(now time.Duration, id string, r Reply) {
+	b := p.loads.get(now, id)
+	b.inFlight = max(0, b.inFlight-1)
+	p.loads.report(now, b, r)
+}
+
+func (p *Picker) begin(now time.Duration, m *membership.Backend, a Attempt) {
+	b := p.loads.get(now, m.ID)
+	b.inFlight++
+	b.sent++
+	p.paths.try(now, m.Guard.NodeID)
+	if p.ring(m) == RingOther {
+		p.bytes.Spend(now, a.Bytes)
+	}
+}
+
+// grouped holds candidates by ring.
+type grouped [rings][]*membership.Backend
+
+func (p *Picker) group(now time.Duration, candidates []membership.Backend, a Attempt) *[tiers]grouped {
+	var groups [tiers]grouped
+	far := p.bytes.Allows(now, a.Bytes)
+	for i := range candidates {
+		m := &candidates[i]
+		t, r := p.tier(now, m, a), p.ring(m)
+		if t == unusable || r == RingOther && !far {
+			continue
+		}
+		groups[t][r] = append(groups[t][r], m)
+	}
+	return &groups
+}
+
+func (p *Picker) tier(now time.Duration, m *membership.Backend, a Attempt) tier {
+	reason, tried := a.Tried[m.ID]
+	known := p.loads.byID[m.ID]
+	switch {
+	case m.State == membership.StateLeaving, tried && reason != hop.ReasonSuspect:
+		return unusable
+	case m.Ejected:
+		return tierEjected
+	case !p.paths.Usable(now, m.Guard.NodeID):
+		return tierNoPath
+	case tried:
+		return tierRefused
+	case m.Suspect, known != nil && now < known.suspected:
+		return tierSuspect
+	case m.State != membership.StateReady:
+		return tierStarting
+	}
+	return tierReady
+}
+
+func (p *Picker) ring(m *membership.Backend) Ring {
+	switch {
+	case m.Guard.Region != p.at.Region:
+		return RingOther
+	case m.Guard.DataCentre != p.at.DataCentre:
+		return RingRegion
+	}
+	return RingDataCentre
+}
+
+// spill returns the choice of the nearest ring, or of a farther one when the
+// nearer is loaded and the farther clearly less so.
+func (p *Picker) spill(now time.Duration, rng *rand.Rand, g *grouped) *membership.Backend {
+	var best *membership.Backend
+	var load float64
+	for _, ring := range g {
+		b, l := p.least(now, rng, ring)
+		if b != nil && (best == nil || l < load-spillGain) {
+			best, load = b, l
+		}
+		if best != nil && load < spillLoad {
+			break
+		}
+	}
+	return best
+}
+
+// least returns the less loaded of a few random candidates.
+func (p *Picker) least(now time.Duration, rng *rand.Rand, ms []*membership.Backend) (*membership.Backend, float64) {
+	var best *membership.Backend
+	var load float64
+	for i := range min(choices, len(ms)) {
+		j := i + rng.IntN(len(ms)-i)
+		ms[i], ms[j] = ms[j], ms[i]
+		l := p.loads.estimate(now, ms[i].ID, ms[i].Slots)
+		if best == nil || l < load {
+			best, load = ms[i], l
+		}
+	}
+	return best, load
+}
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,51 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against retries that multiply the load of an outage.
+func TestRetriesStayWithinShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget(0, DefaultShare, DefaultMinimum)
+		now, requests, retries := time.Duration(0), 0, 0
+		steps := rapid.SliceOfN(rapid.IntRange(0, 50), 1, 500).Draw(t, "gaps in ms")
+		for _, gap := range steps {
+			now += time.Duration(gap) * time.Millisecond
+			b.Request(now)
+			requests++
+			for b.Allow(now) {
+				retries++
+			}
+		}
+		allowed := 1 + DefaultShare*float64(requests) + DefaultMinimum*now.Seconds()
+		if float64(retries) > allowed+1e-6 {
+			t.Fatalf("%d retries for %d requests in %v", retries, requests, now)
+		}
+	})
+}
+
+// Guards against an entry with little traffic that can never retry.
+func TestMinimumWithoutTraffic(t *testing.T) {
+	b := NewBudget(0, DefaultShare, DefaultMinimum)
+	assert.Assert(t, b.Allow(0))
+	assert.Assert(t, !b.Allow(0))
+	assert.Assert(t, b.Allow(time.Second))
+}
+
+// Guards against saved tokens that allow a burst of retries after a quiet time.
+func TestSavedTokensAreBounded(t *testing.T) {
+	b := NewBudget(0, DefaultShare, DefaultMinimum)
+	for i := range 10000 {
+		b.Request(time.Duration(i) * time.Millisecond)
+	}
+	n := 0
+	for b.Allow(time.Hour) {
+		n++
+	}
+	assert.Equal(t, n, 1)
+}
