--- a/cli/change.go
+++ b/cli/change.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -12,7 +13,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/jackdawlane/jackdawlane/config"
-	"github.com/jackdawlane/jackdawlane/hop"
 )
 
 // commit makes a change under the flags' ID, operator and note, or shows it on a dry run.
@@ -42,7 +42,7 @@
 	if a.changeID != "" {
 		return a.changeID
 	}
-	return hop.NewAttemptID()
+	return rand.Text()
 }
 
 // explainUnknown adds the ID with which the same command finds out what became of the change.
