--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -58,7 +58,16 @@
 		return y.lost()
 	}
 	defer res.Body.Close()
-	return y.judge(reply, res)
+	replied := true
+	defer func() {
+		// An upload that the answer did not wait for must not delay its end.
+		if replied {
+			sending.Interrupt(w)
+		}
+	}()
+	refused := y.judge(reply, res)
+	replied = refused == nil
+	return refused
 }
 
 func (y *try) prepare(h http.Header, force bool) {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -36,15 +36,20 @@
 	announceKey  = "announce-secret"
 	routeTimeout = 2 * time.Second
 	waitLimit    = 20 * time.Second
+
+	announceInterval = 500 * time.Millisecond
 )
 
 // node is a guard with its servers; entries reach its hop address through link.
 type node struct {
+	mu    sync.Mutex
 	guard *guard.Guard
-	link  *link.Relay
-	self  membership.Guard
-	hop   *swap
-	ctl   *swap
+	// states holds the announced state of each backend server by address.
+	states map[string]membership.State
+	link   *link.Relay
+	self   membership.Guard
+	hop    *swap
+	ctl    *swap
 }
 
 // swap lets a test restart a guard behind the same address.
@@ -123,7 +128,7 @@
 
 func newNode(t testing.TB) *node {
 	hopListener, ctlListener, linkListener := listen(t), listen(t), listen(t)
-	n := &node{hop: &swap{}, ctl: &swap{}, link: link.New(hopListener.Addr().String())}
+	n := &node{hop: &swap{}, ctl: &swap{}, link: link.New(hopListener.Addr().String()), states: map[string]membership.State{}}
 	n.self = membership.Guard{
 		HopAddress:     linkListener.Addr().String(),
 		ControlAddress: ctlListener.Addr().String(),
@@ -132,12 +137,34 @@
 	serve(t, &http.Server{Handler: n.hop}, hopListener)
 	serve(t, &http.Server{Handler: n.ctl}, ctlListener)
 	go n.link.Serve(linkListener)
-	t.Cleanup(func() { linkListener.Close(); n.link.Reset() })
+	stop := make(chan struct{})
+	go n.repeat(stop)
+	t.Cleanup(func() { close(stop); linkListener.Close(); n.link.Reset() })
 	return n
 }
 
+// repeat announces the backend servers again and again, as they do themselves.
+func (n *node) repeat(stop <-chan struct{}) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		n.mu.Lock()
+		for address := range n.states {
+			n.send(address)
+		}
+		n.mu.Unlock()
+	}
+}
+
 // start puts a guard with the next incarnation into service.
 func (n *node) start(o guard.Observer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.self.Incarnation++
 	n.guard = guard.New(guard.Config{
 		Self:        n.self,
@@ -151,13 +178,26 @@
 }
 
 func (n *node) announce(t testing.TB, address string, state membership.State) {
-	body, err := json.Marshal(guard.Announcement{
-		Service: "service", Address: address, Slots: 4, Connections: 8, State: state, Credential: announceKey,
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.states[address] = state
+	assert.Equal(t, n.send(address), http.StatusNoContent)
+}
+
+// send announces one backend server; n.mu is held.
+func (n *node) send(address string) int {
+	body, _ := json.Marshal(guard.Announcement{
+		Service: "service", Address: address, Slots: 32, Connections: 32, State: n.states[address], Credential: announceKey,
 	})
-	assert.NilError(t, err)
 	w := httptest.NewRecorder()
 	n.guard.AnnounceHandler().ServeHTTP(w, httptest.NewRequest("POST", "/v1/announce", bytes.NewReader(body)))
-	assert.Equal(t, w.Code, http.StatusNoContent, w.Body.String())
+	return w.Code
+}
+
+func (n *node) backends() []membership.Backend {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.guard.Backends(time.Now())
 }
 
 // addBackend starts a backend server that announces itself to the node.
@@ -189,7 +229,7 @@
 	}
 	var all []membership.Backend
 	for _, n := range f.nodes {
-		all = append(all, n.guard.Backends(time.Now())...)
+		all = append(all, n.backends()...)
 	}
 	return membership.NewView(all)
 }
--- a/standin/backend/announcer.go
+++ b/standin/backend/announcer.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,9 @@
 	Credential string
 	// Guards are announce addresses, tried in order.
 	Guards []string
+
+	// mu keeps announcements in order, so that leaving is not followed by an older ready.
+	mu sync.Mutex
 }
 
 // Run announces once a second, and on each change of settings, until ctx ends.
@@ -40,7 +44,7 @@
 	for {
 		changed := a.Server.changes()
 		// A failed announcement is repeated after the interval.
-		_ = a.Announce(ctx)
+		_ = a.Announce(context.WithoutCancel(ctx))
 		select {
 		case <-ctx.Done():
 			return
@@ -58,6 +62,8 @@
 
 // Announce announces once. It returns ErrAnnounce when no guard accepts.
 func (a *Announcer) Announce(ctx context.Context) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	s := a.Server.Settings()
 	body, err := json.Marshal(guard.Announcement{
 		Service:     a.Service,
