Add scripted scenarios over real processes

Found by it: the command line made change IDs with capital letters and an empty operator, both refused by package config; fixed.

--- a/cli/change.go
+++ b/cli/change.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -42,7 +43,7 @@
 	if a.changeID != "" {
 		return a.changeID
 	}
-	return rand.Text()
+	return strings.ToLower(rand.Text())
 }
 
 // explainUnknown adds the ID with which the same command finds out what became of the change.
--- a/cli/root.go
+++ b/cli/root.go
@@ -110,7 +110,7 @@
 	f.StringVar(&a.node, "node", os.Getenv(nodeVariable), "control address of any node; default $"+nodeVariable)
 	f.StringVar(&a.output, "output", "text", "text or json")
 	f.DurationVar(&a.timeout, "timeout", 10*time.Second, "longest time for the command")
-	f.StringVar(&a.operator, "operator", os.Getenv("USER"), "name recorded with a change")
+	f.StringVar(&a.operator, "operator", defaultOperator(), "name recorded with a change")
 	f.StringVar(&a.changeID, "change-id", "", "ID of the change; give it again to repeat a change whose outcome is unknown")
 	f.StringVar(&a.note, "note", "", "note recorded with a change")
 	root.PersistentPreRunE = func(c *cobra.Command, _ []string) error {
@@ -167,3 +167,11 @@
 	}
 	return control.NewClient(), address.String(), nil
 }
+
+// defaultOperator returns the name of the user of the shell.
+func defaultOperator() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	return "operator"
+}
--- /dev/null
+++ b/scenarios/traffic_test.go
@@ -0,0 +1,242 @@
+package scenarios
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/standin/backend"
+)
+
+// broken is the outcome of a request whose reply broke off or never came.
+const broken = "broken"
+
+// request is one request of a scenario and what came back.
+type request struct {
+	id         string
+	entry      string
+	method     string
+	path       string
+	options    map[string]string
+	done       chan struct{}
+	outcome    string
+	reason     string
+	answerText string
+	err        error
+}
+
+func (q *request) idempotent() bool { return strings.HasPrefix(q.path, "/slot") }
+
+var callers = &http.Client{Transport: &http.Transport{
+	MaxIdleConnsPerHost: 256,
+	DialContext:         (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
+}}
+
+// body returns a body that no other request has.
+func (q *request) body() string {
+	size, _ := strconv.Atoi(q.options["size"])
+	return strings.Repeat(q.id+" ", max(1, size/(len(q.id)+1)))
+}
+
+func (q *request) run() {
+	defer close(q.done)
+	timeout, err := time.ParseDuration(q.options["give-up"])
+	if err != nil {
+		timeout = conditionTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	q.outcome = broken
+	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+q.entry+q.path, strings.NewReader(q.body()))
+	if err != nil {
+		q.err = err
+		return
+	}
+	r.GetBody = nil
+	organisationName := "kitami"
+	if name := q.options["organisation"]; name != "" {
+		organisationName = name
+	}
+	basic := &http.Request{Header: http.Header{}}
+	basic.SetBasicAuth(organisationName, secret)
+	r.Header.Set("Proxy-Authorization", basic.Header.Get("Authorization"))
+	r.Header.Set(backend.HeaderWorkID, q.id)
+	for option, header := range map[string]string{"key": "Idempotency-Key", "timeout": "Request-Timeout", "service-ms": backend.HeaderServiceMS} {
+		if value := q.options[option]; value != "" {
+			r.Header.Set(header, value)
+		}
+	}
+	res, err := callers.Do(r)
+	if err != nil {
+		q.err = err
+		return
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		q.err = err
+		return
+	}
+	q.outcome = res.Header.Get(hop.HeaderOutcome)
+	q.reason = res.Header.Get(hop.HeaderReason)
+	if q.outcome == string(hop.OutcomeAnswer) && res.StatusCode == http.StatusOK {
+		q.answerText = string(text)
+	}
+}
+
+// wants reports whether the outcome is what a script asks for: an outcome, an
+// outcome and reason joined by '/', several of them joined by '|', or any.
+func (q *request) wants(text string) bool {
+	return text == "any" || slices.ContainsFunc(strings.Split(text, "|"), func(one string) bool {
+		outcome, reason, _ := strings.Cut(one, "/")
+		return q.outcome == outcome && (reason == "" || q.reason == reason)
+	})
+}
+
+func options(args []string) map[string]string {
+	all := make(map[string]string)
+	for _, arg := range args {
+		name, value, _ := strings.Cut(arg, "=")
+		all[name] = value
+	}
+	return all
+}
+
+func (f *fleet) newRequest(ts *testscript.TestScript, entry, method, path, id string, opts map[string]string) *request {
+	q := &request{id: id, entry: f.process(ts, entry).address["traffic"], method: method, path: path, options: opts, done: make(chan struct{})}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests[id] = q
+	return q
+}
+
+// send: send ENTRY METHOD PATH WORK-ID OUTCOME [option=value ...]
+// With the outcome "later" it does not wait; the command outcome does.
+func (f *fleet) send(ts *testscript.TestScript, args []string) {
+	q := f.newRequest(ts, args[0], args[1], args[2], args[3], options(args[5:]))
+	go q.run()
+	if args[4] != "later" {
+		f.outcome(ts, []string{args[3], args[4]})
+	}
+}
+
+// outcome: outcome WORK-ID OUTCOME waits for the end of a request.
+func (f *fleet) outcome(ts *testscript.TestScript, args []string) {
+	q := f.requests[args[0]]
+	<-q.done
+	if !q.wants(args[1]) {
+		ts.Fatalf("%s: got %s/%s (%v), want %s", q.id, q.outcome, q.reason, q.err, args[1])
+	}
+}
+
+// runs returns how often each work ID ran on any backend server.
+func (f *fleet) runs(ts *testscript.TestScript) map[string]int {
+	all := make(map[string]int)
+	for _, p := range f.processes {
+		if p.service == "" {
+			continue
+		}
+		res, err := http.Get("http://" + p.address["backend"] + "/runs")
+		check(ts, err)
+		var runs map[string]int
+		check(ts, json.NewDecoder(res.Body).Decode(&runs))
+		_ = res.Body.Close()
+		for id, n := range runs {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+// running: running WORK-ID waits until a backend server has begun the work.
+func (f *fleet) running(ts *testscript.TestScript, args []string) {
+	waitFor(ts, args[0]+" runs", func() bool { return f.runs(ts)[args[0]] > 0 })
+}
+
+// loader sends requests at an even rate, each at its intended time.
+type loader struct {
+	end  chan struct{}
+	once sync.Once
+	wait sync.WaitGroup
+}
+
+func (l *loader) stop() {
+	l.once.Do(func() { close(l.end) })
+	l.wait.Wait()
+}
+
+// load: load NAME ENTRY[,ENTRY ...] METHOD PATH RATE [option=value ...]
+// sends RATE requests a second until unload.
+func (f *fleet) load(ts *testscript.TestScript, args []string) {
+	rate, err := strconv.Atoi(args[4])
+	check(ts, err)
+	l := &loader{end: make(chan struct{})}
+	f.loads[args[0]] = l
+	entries := strings.Split(args[1], ",")
+	l.wait.Go(func() {
+		ticker := time.NewTicker(time.Second / time.Duration(rate))
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-l.end:
+				return
+			case <-ticker.C:
+			}
+			q := f.newRequest(ts, entries[i%len(entries)], args[2], args[3], fmt.Sprintf("%s-%d", args[0], i), options(args[5:]))
+			l.wait.Go(q.run)
+		}
+	})
+}
+
+// unload: unload NAME ends a load and waits for its replies.
+func (f *fleet) unload(_ *testscript.TestScript, args []string) {
+	f.loads[args[0]].stop()
+}
+
+// judge: judge [answers=PERCENT] [no-broken] compares every outcome with the
+// runs that the backend servers counted:
+// work that is not idempotent ran at most once; not-run work did not run;
+// answered work ran, and its answer is whole and its own.
+func (f *fleet) judge(ts *testscript.TestScript, args []string) {
+	runs := f.runs(ts)
+	opts := options(args)
+	counts := make(map[string]int)
+	for _, q := range f.requests {
+		<-q.done
+		counts[q.outcome]++
+		n := runs[q.id]
+		switch {
+		case !q.idempotent() && n > 1:
+			ts.Fatalf("%s ran %d times", q.id, n)
+		case q.outcome == string(hop.OutcomeNotRun) && n > 0:
+			ts.Fatalf("%s was refused as not run (%s) and ran", q.id, q.reason)
+		case q.outcome == string(hop.OutcomeAnswer) && n == 0:
+			ts.Fatalf("%s was answered and did not run", q.id)
+		case q.answerText != "" && q.answerText != q.wantAnswer():
+			ts.Fatalf("%s got another answer: %.80q", q.id, q.answerText)
+		}
+	}
+	ts.Logf("outcomes: %v", counts)
+	if _, ok := opts["no-broken"]; ok && counts[broken] > 0 {
+		ts.Fatalf("%d replies were broken", counts[broken])
+	}
+	if percent, err := strconv.Atoi(opts["answers"]); err == nil && counts["answer"]*100 < percent*len(f.requests) {
+		ts.Fatalf("%d answers of %d requests, want %d%%", counts["answer"], len(f.requests), percent)
+	}
+}
+
+// wantAnswer is the answer of the stand-in to the request.
+func (q *request) wantAnswer() string {
+	return fmt.Sprintf("%s %s done %d\n%s", q.method, q.id, len(q.body()), q.body())
+}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -8,7 +8,7 @@
 work=$(mktemp -d)
 port_base=${PORT_BASE:-17000}
 export JACKDAWLANE_STORE=127.0.0.1:$port_base
-export USER=${USER:-operator}
+
 pids=()
 
 stop_all() {
