Measure overload, fairness and balancing in virtual time

The queue bound is about one service time, so that work dropped at one backend server can wait at a second one within 50 ms. The entry compares more candidates after a refusal.

--- a/admission/fair.go
+++ b/admission/fair.go
@@ -21,8 +21,11 @@
 	stats   *routeStats
 	class   class
 	arrived time.Duration
-	// expires is the last useful start of queued work.
-	expires time.Duration
+	// useful is the last start in time for the deadline, and expires the last
+	// start within the bound of the queue also.
+	useful, expires time.Duration
+	// bound is the longest expected wait at which it is queued.
+	bound   time.Duration
 	started time.Duration
 	// cost is the expected service time in seconds, charged at dispatch.
 	cost    float64
@@ -35,7 +38,7 @@
 	name    string
 	finish  float64
 	running int
-	fresh   bool // not served since it was last idle
+	fresh   bool // not served since it was last idle without charge
 	waiting [classes][]*item
 	work    [classes]float64 // seconds queued
 }
@@ -51,8 +54,7 @@
 	virtual float64
 	orgs    []*organisation // organisations with work or with time still charged
 	queued  int
-	// lastFresh says whether the last work served was of a fresh organisation.
-	lastFresh bool
+	credit  float64 // seconds of unused share that an organisation keeps
 }
 
 func (f *fairQueue) organisation(name string) *organisation {
@@ -61,7 +63,7 @@
 			return o
 		}
 	}
-	o := &organisation{name: name, finish: f.virtual, fresh: true}
+	o := &organisation{name: name, finish: f.virtual - f.credit, fresh: true}
 	f.orgs = append(f.orgs, o)
 	return o
 }
@@ -135,27 +137,37 @@
 }
 
 // before orders work of two organisations by start tag. Of equal ones, a fresh
-// organisation goes first, because its turn among busy ones can come later than
-// its work expires; but not twice in a row, so that a stream of fresh
-// organisations does not starve the busy ones.
+// organisation goes first, because with few slots its turn among busy ones can
+// come later than its work expires. Then arrival decides.
 func (f *fairQueue) before(a, b *item) bool {
 	if ta, tb := f.tag(a.org), f.tag(b.org); ta != tb {
 		return ta < tb
 	}
 	if a.org.fresh != b.org.fresh {
-		return a.org.fresh != f.lastFresh
+		return a.org.fresh
 	}
 	return a.arrived < b.arrived
 }
 
-func (f *fairQueue) tag(o *organisation) float64 { return max(f.virtual, o.finish) }
+// tag is the start tag of the next work of o. An organisation that used less
+// than its share keeps up to credit of it.
+func (f *fairQueue) tag(o *organisation) float64 { return max(f.virtual-f.credit, o.finish) }
 
-// charge accounts the dispatch of it.
+// owed reports whether o has used less than its share and has no work queued.
+func (f *fairQueue) owed(o *organisation) bool {
+	return o.finish <= f.virtual-f.credit && len(o.waiting[short])+len(o.waiting[long]) == 0
+}
+
+// charge accounts the dispatch of it. Virtual time also advances while
+// organisations with credit are served, so that a stream of new organisations
+// does not starve the busy ones; but more slowly than a single busy
+// organisation is charged, so that it does not keep its credit.
 func (f *fairQueue) charge(it *item) {
-	f.virtual = f.tag(it.org)
-	it.org.finish = f.virtual + it.cost
+	tag := f.tag(it.org)
+	f.virtual = max(tag, f.virtual+it.cost/float64(len(f.orgs)+1))
+	it.org.finish = tag + it.cost
 	it.org.running++
-	f.lastFresh, it.org.fresh = it.org.fresh, false
+	it.org.fresh = false
 }
 
 // settle replaces the expected cost of finished work by the actual one.
@@ -167,18 +179,20 @@
 // forget drops organisations without work or charge.
 func (f *fairQueue) forget() {
 	f.orgs = slices.DeleteFunc(f.orgs, func(o *organisation) bool {
-		return o.idle() && o.finish <= f.virtual
+		return o.idle() && o.finish <= f.virtual-f.credit
 	})
 }
 
 // ahead is the queued work in seconds that would be served before new work of
 // o: its own, and that of the others up to the start tag of the new work.
-func (f *fairQueue) ahead(o *organisation, c class) float64 {
+func (f *fairQueue) ahead(o *organisation, c class, cost float64) float64 {
 	start := f.tag(o) + o.work[c]
 	sum := o.work[c]
 	for _, p := range f.orgs {
-		if p != o {
-			sum += min(p.work[c], max(0, start-f.tag(p)))
+		tag := f.tag(p)
+		first := tag < start || tag == start && (p.fresh || !o.fresh)
+		if p != o && first {
+			sum += min(p.work[c], start-tag+cost)
 		}
 	}
 	return sum
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -12,14 +12,24 @@
 
 const (
 	// queueFactor bounds the expected wait in units of the route's service
-	// time: long enough that slots do not idle, short enough that a refusal
-	// still leaves time for another backend server.
-	queueFactor = 1.5
-	minQueue    = 10 * time.Millisecond
-	maxQueue    = 500 * time.Millisecond
-	// dropFactor is the actual wait, in units of the bound, at which queued work
-	// is dropped: 40 ms at a service time of 20 ms, within the target of 50 ms.
-	dropFactor = 4.0 / 3
+	// time: long enough that slots do not idle.
+	queueFactor = 1.0
+	// dropFactor bounds the actual wait in the same units: work dropped at one
+	// backend server can still wait at a second one within 50 ms at a service
+	// time of 20 ms.
+	dropFactor = 0.95
+	// owedFactor plus owedTurns over the limit replaces both for the first work
+	// of an organisation that used less than its share. It is next in turn, but
+	// with less than a service time it can miss every turn when all slots become
+	// free together, and with few slots others that are owed come first.
+	owedFactor = 1.2
+	owedTurns  = 2.0
+	minQueue   = 10 * time.Millisecond
+	maxQueue   = 500 * time.Millisecond
+	// creditFactor is the unused share that an organisation keeps, in units of
+	// the usual service time: enough that with a single slot and a few busy
+	// organisations, one that was just served is told from one that was not.
+	creditFactor = 8
 	// demandTime is the time over which the demand of short work decays.
 	demandTime = 2 * time.Second
 	// capInterval is the time between checks of the cap on long work.
@@ -127,6 +137,7 @@
 	if q.items[r.ID] != nil {
 		return Verdict{Reason: hop.ReasonDuplicate}, ch
 	}
+	q.fair.credit = creditFactor * q.routes.usualService()
 	it := q.newItem(r)
 	if now >= r.Deadline {
 		return Verdict{Reason: hop.ReasonTimeout}, ch
@@ -137,11 +148,11 @@
 		q.start(it)
 		return Verdict{Decision: Dispatched}, ch
 	}
-	if it.expires <= now {
-		return Verdict{Reason: hop.ReasonTimeout}, ch
-	}
 	wait := q.wait(it.org, it.class, it.cost)
-	if now+wait > it.expires || wait > bound(it.cost) {
+	if now+wait > it.useful {
+		return Verdict{Reason: hop.ReasonTimeout, Wait: wait}, ch
+	}
+	if wait > it.bound {
 		return Verdict{Reason: hop.ReasonFull, Wait: wait}, ch
 	}
 	q.admit(it)
@@ -211,7 +222,7 @@
 	for _, o := range q.fair.orgs {
 		for _, items := range o.waiting {
 			for _, it := range items {
-				next = min(next, it.expires)
+				next = min(next, it.expires+1)
 			}
 		}
 	}
@@ -229,7 +240,7 @@
 func (q *Queue) Load(now time.Duration) Load {
 	l := Load{Running: q.running, Queued: q.fair.queued, Limit: q.limiter.limit(now)}
 	if !q.mayStart(short) || q.fair.queued > 0 {
-		l.Wait = q.wait(&organisation{finish: q.fair.virtual}, short, q.routes.usualService())
+		l.Wait = q.wait(&organisation{}, short, q.routes.usualService())
 	}
 	return l
 }
@@ -241,8 +252,14 @@
 	if stats.long || q.shownLong(stats) {
 		it.class = long
 	}
-	last := q.now + seconds(bound(it.cost).Seconds()*dropFactor)
-	it.expires = min(last, r.Deadline-it.needed())
+	expected, drop := queueFactor, dropFactor
+	if q.fair.owed(it.org) {
+		expected = owedFactor + owedTurns/float64(q.limiter.limit(q.now))
+		drop = expected
+	}
+	it.bound = bound(expected * it.cost)
+	it.useful = r.Deadline - it.needed()
+	it.expires = min(it.useful, q.now+bound(drop*it.cost))
 	return it
 }
 
@@ -348,7 +365,7 @@
 	if c == long {
 		servers = q.longCap(limit)
 	}
-	return seconds((q.fair.ahead(o, c) + cost) / float64(servers))
+	return seconds((q.fair.ahead(o, c, cost) + cost) / float64(servers))
 }
 
 // learn updates the statistics with the latency of an answer.
@@ -392,7 +409,7 @@
 func (q *Queue) expireClass(ch *Changes, items []*item) {
 	var gone []*item
 	for _, it := range items {
-		if q.state == membership.StateLeaving || it.expires <= q.now {
+		if q.state == membership.StateLeaving || it.expires < q.now {
 			gone = append(gone, it)
 		}
 	}
@@ -406,15 +423,13 @@
 	switch {
 	case q.state == membership.StateLeaving:
 		return hop.ReasonLeaving
-	case it.Deadline-it.needed() <= q.now:
+	case it.useful < q.now:
 		return hop.ReasonTimeout
 	}
 	return hop.ReasonFull
 }
 
-// bound is the longest expected wait for work of the given service time in seconds.
-func bound(cost float64) time.Duration {
-	return min(max(seconds(queueFactor*cost), minQueue), maxQueue)
-}
+// bound limits a wait in seconds to the bounds of the queue.
+func bound(wait float64) time.Duration { return min(max(seconds(wait), minQueue), maxQueue) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -159,6 +159,30 @@
 	})
 }
 
+// Guards against a stream of new organisations, each with one request, that
+// starves one that is always busy.
+func TestNewOrganisationsDoNotStarveBusyOne(t *testing.T) {
+	q := NewQueue(0, 1, membership.StateReady)
+	var b bench
+	served, last, gap := 0, time.Duration(0), time.Duration(0)
+	start := func(now time.Duration, id string) {
+		b.start(id, now+10*ms)
+		if id[0] == 'v' {
+			served++
+			gap, last = max(gap, now-last), now
+		}
+	}
+	for i := range 3000 {
+		now := time.Duration(i) * ms
+		b.finish(q, now, start)
+		offer(q, now, fmt.Sprintf("v-%d", i), start)
+		offer(q, now, fmt.Sprintf("%c%c%d", 'A'+i%26, 'A'+i/26%26, i), start)
+	}
+	gap = max(gap, 3*time.Second-last)
+	t.Logf("served %d of 300, longest gap %v", served, gap)
+	assert.Assert(t, gap <= time.Second)
+}
+
 // bench holds the running work of a test in order of its end.
 type bench []struct {
 	id  string
--- a/admission/routes.go
+++ b/admission/routes.go
@@ -10,6 +10,9 @@
 	initialService = 20 * time.Millisecond
 	// routeSamples is the number of completions over which statistics decay.
 	routeSamples = 64
+	// meanSamples is the same for the mean service time. It is larger because
+	// the queue bound follows the mean, and refusals must come within 50 ms.
+	meanSamples = 512
 	// longEnter and longLeave are ratios of a route's mean to the usual service
 	// time. The gap keeps a route near the bound from changing class all the time.
 	longEnter = 5
@@ -80,7 +83,7 @@
 	log := math.Log(max(seconds, 1e-6))
 	r.n++
 	t.n++
-	r.mean += weight(r.n) * (seconds - r.mean)
+	r.mean += max(1/float64(r.n), 1.0/meanSamples) * (seconds - r.mean)
 	if usual || !r.settled() {
 		r.baseN++
 		r.logMean += weight(r.baseN) * (log - r.logMean)
--- a/balance/load.go
+++ b/balance/load.go
@@ -11,8 +11,7 @@
 	// reportAge is the time constant with which a report ages towards the
 	// average. Load changes within a few service times, so an old report says little.
 	reportAge = 300 * time.Millisecond
-	// refusedLoad is the least load assumed after a refusal as full, whatever
-	// the report says.
+	// refusedLoad replaces a report of free slots that came with a refusal as full.
 	refusedLoad = 2.0
 	// maxLoad bounds a report, so that one false value cannot move the average far.
 	maxLoad = 4.0
@@ -83,8 +82,8 @@
 	switch {
 	case r.Reason == hop.ReasonSuspect:
 		b.suspected = now + suspectTime
-	case r.Reason == hop.ReasonFull:
-		load, ok = max(refusedLoad, load), true
+	case r.Reason == hop.ReasonFull && (!ok || load < 1):
+		load, ok = refusedLoad, true
 	}
 	if !ok {
 		return
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// choices is the number of random candidates compared. More than two gain
+	// choices is the number of random candidates compared, and one more for each
+	// backend server that refused the request. More at the first attempt gain
 	// little and draw more entries to a backend server that reports too low a load.
 	choices = 2
 	// spillLoad is the load at which a nearer ring is left for the next one:
@@ -90,7 +91,7 @@
 	p.loads.sweep(now)
 	groups := p.group(now, candidates, a)
 	for t := range tiers {
-		best := p.spill(now, rng, &groups[t])
+		best := p.spill(now, rng, &groups[t], choices+len(a.Tried))
 		if best == nil {
 			continue
 		}
@@ -108,6 +109,11 @@
 	p.loads.report(now, b, r)
 }
 
+// Report takes a load report that does not end an attempt.
+func (p *Picker) Report(now time.Duration, id string, r Reply) {
+	p.loads.report(now, p.loads.get(now, id), r)
+}
+
 func (p *Picker) begin(now time.Duration, m *membership.Backend, a Attempt) {
 	b := p.loads.get(now, m.ID)
 	b.inFlight++
@@ -167,11 +173,11 @@
 
 // spill returns the choice of the nearest ring, or of a farther one when the
 // nearer is loaded and the farther clearly less so.
-func (p *Picker) spill(now time.Duration, rng *rand.Rand, g *grouped) *membership.Backend {
+func (p *Picker) spill(now time.Duration, rng *rand.Rand, g *grouped, n int) *membership.Backend {
 	var best *membership.Backend
 	var load float64
 	for _, ring := range g {
-		b, l := p.least(now, rng, ring)
+		b, l := p.least(now, rng, ring, n)
 		if b != nil && (best == nil || l < load-spillGain) {
 			best, load = b, l
 		}
@@ -182,11 +188,11 @@
 	return best
 }
 
-// least returns the less loaded of a few random candidates.
-func (p *Picker) least(now time.Duration, rng *rand.Rand, ms []*membership.Backend) (*membership.Backend, float64) {
+// least returns the least loaded of n random candidates.
+func (p *Picker) least(now time.Duration, rng *rand.Rand, ms []*membership.Backend, n int) (*membership.Backend, float64) {
 	var best *membership.Backend
 	var load float64
-	for i := range min(choices, len(ms)) {
+	for i := range min(n, len(ms)) {
 		j := i + rng.IntN(len(ms)-i)
 		ms[i], ms[j] = ms[j], ms[i]
 		l := p.loads.estimate(now, ms[i].ID, ms[i].Slots)
