--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -83,12 +84,25 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// nextPort hands out ports below the range from which the system takes the
+// ports of outgoing connections, so that no connection can take one of them
+// between its choice here and the start of the process that listens on it.
+var nextPort atomic.Int32
+
+const firstPort, lastPort = 20_000, 32_000
+
+// freeAddress returns a loopback address that no other process of the scenarios gets.
 func freeAddress(ts *testscript.TestScript) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(ts, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+	ts.Fatalf("no free port")
+	return ""
 }
 
 func (f *fleet) process(ts *testscript.TestScript, name string) *process {
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -50,6 +50,7 @@
 			"load":    withFleet((*fleet).load),
 			"unload":  withFleet((*fleet).unload),
 			"judge":   withFleet((*fleet).judge),
+			"late":    withFleet((*fleet).late),
 		},
 	})
 }
--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -236,6 +236,18 @@
 	}
 }
 
+// late: late BACKEND N checks how much work arrived after the backend server announced that it leaves.
+func (f *fleet) late(ts *testscript.TestScript, args []string) {
+	res, err := http.Get("http://" + f.process(ts, args[0]).address["backend"] + "/stats")
+	check(ts, err)
+	defer res.Body.Close()
+	var stats backend.Stats
+	check(ts, json.NewDecoder(res.Body).Decode(&stats))
+	if fmt.Sprint(stats.LateWork) != args[1] {
+		ts.Fatalf("%d pieces of work arrived late", stats.LateWork)
+	}
+}
+
 // wantAnswer is the answer of the stand-in to the request.
 func (q *request) wantAnswer() string {
 	return fmt.Sprintf("%s %s done %d\n%s", q.method, q.id, len(q.body()), q.body())
