--- a/health/measure_test.go
+++ b/health/measure_test.go
@@ -181,9 +181,13 @@
 
 func (a result) row(policy, fault string) string {
 	found := len(a.detections[fault])
-	return fmt.Sprintf("| %s | %s | %d of %d | %.2f s | %.2f s | %d | %d | %d |\n", policy, fault,
-		found, found+a.missed[fault], a.median(fault).Seconds(), a.worst(fault).Seconds(),
-		a.ejections[fault], a.healthySuspected, a.healthyEjected)
+	median, worst := "-", "-"
+	if found > 0 {
+		median = fmt.Sprintf("%.2f s", a.median(fault).Seconds())
+		worst = fmt.Sprintf("%.2f s", a.worst(fault).Seconds())
+	}
+	return fmt.Sprintf("| %s | %s | %d of %d | %s | %s | %d | %d | %d |\n", policy, fault,
+		found, found+a.missed[fault], median, worst, a.ejections[fault], a.healthySuspected, a.healthyEjected)
 }
 
 const header = `| method | fault | suspected | median | worst | ejected | healthy suspected | healthy ejected |
