--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -133,7 +133,9 @@
 
 // outcome: outcome WORK-ID OUTCOME waits for the end of a request.
 func (f *fleet) outcome(ts *testscript.TestScript, args []string) {
+	f.mu.Lock()
 	q := f.requests[args[0]]
+	f.mu.Unlock()
 	<-q.done
 	if !q.wants(args[1]) {
 		ts.Fatalf("%s: got %s/%s (%v), want %s", q.id, q.outcome, q.reason, q.err, args[1])
@@ -209,11 +211,16 @@
 // work that is not idempotent ran at most once; not-run work did not run;
 // answered work ran, and its answer is whole and its own.
 func (f *fleet) judge(ts *testscript.TestScript, args []string) {
+	for _, l := range f.loads {
+		l.stop()
+	}
+	for _, q := range f.requests {
+		<-q.done
+	}
 	runs := f.runs(ts)
 	opts := options(args)
 	counts := make(map[string]int)
 	for _, q := range f.requests {
-		<-q.done
 		counts[q.outcome]++
 		n := runs[q.id]
 		switch {
