Measure membership and keep the relay order between changes

Evidence of life now names a node that reaches only one relay, and a relay that is cut off counts only nodes heard in the last 3 s: the tests on one-way cuts and isolation failed before.

--- a/membership/directory.go
+++ b/membership/directory.go
@@ -45,8 +45,13 @@
 	nextSeed               int
 	refreshAt              time.Duration
 	configVersion          uint64
-	superseded             bool
-	changes                uint64
+	// otherRelay is the first relay of the own data centre other than this node.
+	otherRelay string
+	superseded bool
+	changes    uint64
+	// ranking is the relay order as of the change rankedAt.
+	ranking  map[string][]*entry
+	rankedAt uint64
 }
 
 // NewDirectory returns a directory with the own record. Seeds are control
@@ -63,6 +68,9 @@
 		lastReply:  now - goneAfter,
 		lastSeed:   now - seedInterval,
 	}
+	if len(d.seeds) > 0 {
+		d.nextSeed = int(relayHash(own.GetNodeId()) % uint64(len(d.seeds)))
+	}
 	d.publishOwn(now, max(own.GetSequence(), 1))
 	return d
 }
@@ -169,6 +177,12 @@
 	at := slices.IndexFunc(relays, d.isSelf)
 	d.firstSince = since(now, d.firstSince, at == 0)
 	d.relaySince = since(now, d.relaySince, at >= 0)
+	d.otherRelay = ""
+	for _, e := range slices.Backward(d.relaysOf(now, d.own.GetDataCentre(), false)) {
+		if !d.isSelf(e) {
+			d.otherRelay = e.record.GetNodeId()
+		}
+	}
 }
 
 func since(now, start time.Duration, holds bool) time.Duration {
@@ -221,7 +235,9 @@
 	return e.record.GetDataCentre() == d.own.GetDataCentre()
 }
 
-// silenceLimit returns goneAfter if this node hears at least half of its data centre.
+// silenceLimit returns goneAfter if this node hears at least half of its data
+// centre. It counts a shorter time than goneAfter, because nodes fall silent one
+// after another when this node is cut off.
 func (d *Directory) silenceLimit(now time.Duration) time.Duration {
 	live, heard := 0, 0
 	for _, e := range d.entries {
@@ -229,7 +245,7 @@
 			continue
 		}
 		live++
-		if d.isSelf(e) || now-e.heard <= goneAfter {
+		if d.isSelf(e) || now-e.heard <= evidenceAge {
 			heard++
 		}
 	}
--- a/membership/directory_test.go
+++ b/membership/directory_test.go
@@ -75,6 +75,16 @@
 	return -1
 }
 
+// ordinaryNode returns a living node that is neither seed nor relay.
+func (s *simulation) ordinaryNode() *simNode {
+	for {
+		n := s.nodes[s.random.IntN(len(s.nodes))]
+		if n.alive && s.seedIndex(n) < 0 && n.directory.relaySince < 0 {
+			return n
+		}
+	}
+}
+
 func joined(t *testing.T, dataCentres, perDataCentre int) *simulation {
 	t.Helper()
 	s := newSimulation(1, dataCentres, perDataCentre)
@@ -142,7 +152,7 @@
 			}
 		}
 		if kill == "ordinary" {
-			s.nodes[len(s.nodes)-1].alive = false
+			s.ordinaryNode().alive = false
 		}
 		took := s.converge(healTime)
 		assert.Assert(t, took >= goneAfter && took <= 4*goneAfter, "%s: %s", kill, took)
@@ -153,7 +163,7 @@
 // records that change although nobody died.
 func TestLostDataCentreLeavesTheViewAndReturns(t *testing.T) {
 	s := joined(t, 2, 4)
-	s.cut[[2]string{s.nodes[0].dc, s.nodes[1].dc}] = true
+	s.cut[[2]string{"region-dc-0", "region-dc-1"}] = true
 	for range 12 {
 		s.step()
 	}
--- a/membership/record.go
+++ b/membership/record.go
@@ -54,7 +54,7 @@
 	learnt time.Duration
 	// heard is the last evidence of life, direct is the last at first hand.
 	heard, direct time.Duration
-	// detached is when the node last reported that it cannot reach its first relay.
+	// detached is when the node last reported that it cannot reach the other relay.
 	detached time.Duration
 	// configVersion is the version in force that the node last reported to this one.
 	configVersion uint64
--- a/membership/relay.go
+++ b/membership/relay.go
@@ -21,33 +21,52 @@
 	)
 }
 
-// firstTwo keeps the two entries of the highest weight.
-func firstTwo(es []*entry, e *entry) []*entry {
-	at, _ := slices.BinarySearchFunc(es, e, relayOrder)
-	if at == relaysPerDataCentre {
-		return es
+// ranked returns the serving nodes of each data centre in relay order. The order
+// is kept until a record changes, because each round asks for it several times.
+func (d *Directory) ranked() map[string][]*entry {
+	if d.ranking != nil && d.rankedAt == d.changes {
+		return d.ranking
 	}
-	es = slices.Insert(es, at, e)
-	return es[:min(len(es), relaysPerDataCentre)]
+	d.rankedAt = d.changes
+	d.ranking = make(map[string][]*entry)
+	for _, e := range d.entries {
+		if serving(e.record) {
+			dc := e.record.GetDataCentre()
+			d.ranking[dc] = append(d.ranking[dc], e)
+		}
+	}
+	for _, es := range d.ranking {
+		slices.SortFunc(es, relayOrder)
+	}
+	return d.ranking
 }
 
 // relays returns the first two nodes of each data centre that are serving.
 // Nodes that this one cannot reach are passed over when reachable is true.
 func (d *Directory) relays(now time.Duration, reachable bool) map[string][]*entry {
 	selected := make(map[string][]*entry)
-	for _, e := range d.entries {
-		if !serving(e.record) || reachable && d.unreachable(now, e) {
-			continue
-		}
-		dc := e.record.GetDataCentre()
-		selected[dc] = firstTwo(selected[dc], e)
+	for dc := range d.ranked() {
+		selected[dc] = d.relaysOf(now, dc, reachable)
 	}
 	return selected
 }
 
+func (d *Directory) relaysOf(now time.Duration, dc string, reachable bool) []*entry {
+	var es []*entry
+	for _, e := range d.ranked()[dc] {
+		if len(es) == relaysPerDataCentre {
+			break
+		}
+		if !reachable || !d.unreachable(now, e) {
+			es = append(es, e)
+		}
+	}
+	return es
+}
+
 // ownRelays returns the relays of the own data centre that this node can reach.
 func (d *Directory) ownRelays(now time.Duration) []*entry {
-	return d.relays(now, true)[d.own.GetDataCentre()]
+	return d.relaysOf(now, d.own.GetDataCentre(), true)
 }
 
 // IsRelay reports whether this node is a relay of its data centre.
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,10 +12,16 @@
 
 // simNode is one process of the simulated fleet.
 type simNode struct {
-	id, dc    string
+	id, dc string
+	// phase is when the node runs its round within a second.
+	phase     time.Duration
 	directory *Directory
 	alive     bool
 	seen      map[string]*pb.NodeRecord
+	// busy, bytes and calls are what measured runs count.
+	busy  time.Duration
+	bytes int
+	calls int
 }
 
 // simulation drives directories through an in-memory network in virtual time.
@@ -32,6 +39,27 @@
 	late        []func()
 	// observe, when set, sees each delivered request and reply.
 	observe func(from, to *simNode, request *pb.SyncRequest, reply *pb.SyncResponse)
+	// afterRound, when set, sees each node after its round.
+	afterRound func(n *simNode)
+	// measured, when set, counts the processor time of each node.
+	measured bool
+	// away is time spent in other nodes or in the simulation during timed work.
+	away time.Duration
+}
+
+// timed adds the time of work to the node, without the time of timed work within it.
+func (s *simulation) timed(n *simNode, work func()) {
+	if !s.measured {
+		work()
+		return
+	}
+	outer := s.away
+	s.away = 0
+	start := time.Now()
+	work()
+	total := time.Since(start)
+	n.busy += total - s.away
+	s.away = outer + total
 }
 
 func newSimulation(seed uint64, dataCentres, perDataCentre int) *simulation {
@@ -46,7 +74,7 @@
 		if i < 2*dataCentres {
 			s.seeds = append(s.seeds, simAddress(n))
 		}
-		s.nodes = append(s.nodes, n)
+		s.add(n)
 	}
 	for _, n := range s.nodes {
 		s.start(n)
@@ -54,6 +82,13 @@
 	return s
 }
 
+// add puts a node in the order of phases.
+func (s *simulation) add(n *simNode) {
+	n.phase = time.Duration(s.random.Int64N(int64(SyncInterval)))
+	s.nodes = append(s.nodes, n)
+	slices.SortStableFunc(s.nodes, func(a, b *simNode) int { return cmp.Compare(a.phase, b.phase) })
+}
+
 func simAddress(n *simNode) string { return "10.0.0.1:" + n.id }
 
 // start starts or restarts a node with the same node ID and a new incarnation.
@@ -90,7 +125,8 @@
 
 // step runs one second of the fleet.
 func (s *simulation) step() {
-	s.now += SyncInterval
+	start := s.now
+	defer func() { s.now = start + SyncInterval }()
 	late := s.late
 	s.late = nil
 	for _, deliver := range late {
@@ -100,8 +136,14 @@
 		if !n.alive {
 			continue
 		}
-		for _, c := range n.directory.Tick(s.now) {
-			s.send(n, c)
+		s.now = start + n.phase
+		s.timed(n, func() {
+			for _, c := range n.directory.Tick(s.now) {
+				s.send(n, c)
+			}
+		})
+		if s.afterRound != nil {
+			s.afterRound(n)
 		}
 	}
 }
@@ -120,7 +162,8 @@
 		if s.random.Float64() < s.delay {
 			s.late = append(s.late, func() { receiver.HandleSync(s.now, call.Request) })
 		}
-		reply := receiver.HandleSync(s.now, call.Request)
+		var reply *pb.SyncResponse
+		s.timed(to, func() { reply = receiver.HandleSync(s.now, call.Request) })
 		if s.random.Float64() < s.delay {
 			s.late = append(s.late, func() { directory.HandleReply(s.now, call, reply) })
 		}
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -16,7 +16,7 @@
 	retryInterval = 10 * time.Second
 	// seedInterval is how often a relay syncs with a seed, to join parts of a
 	// fleet that know nothing of each other.
-	seedInterval = 30 * time.Second
+	seedInterval = 10 * time.Second
 	// evidenceAge bounds the age of evidence passed on to other nodes.
 	evidenceAge = 3 * time.Second
 )
@@ -141,16 +141,13 @@
 	return addresses
 }
 
-// seedTargets returns all seeds while no peer answers, and otherwise one seed
-// from time to time if this node is a relay.
+// seedTargets returns the next seed while no peer answers, and from time to time
+// if this node is a relay. It is one seed a round, because a joining node reads
+// the whole directory from each.
 func (d *Directory) seedTargets(now time.Duration) []string {
-	if len(d.seeds) == 0 {
-		return nil
-	}
-	if now-d.lastReply >= goneAfter {
-		return d.seeds
-	}
-	if d.relaySince < 0 || now-d.lastSeed < seedInterval {
+	alone := now-d.lastReply >= goneAfter
+	due := d.relaySince >= 0 && now-d.lastSeed >= seedInterval
+	if len(d.seeds) == 0 || !alone && !due {
 		return nil
 	}
 	d.lastSeed = now
@@ -195,7 +192,7 @@
 // evidence names the nodes that a receiver of the own data centre should know
 // to be alive. An ordinary node names the relays that answer it. A relay names
 // the answering relays of other data centres, and the nodes of its own that
-// cannot reach the first relay.
+// cannot reach the other relay.
 func (d *Directory) evidence(now time.Duration, receiver string) []string {
 	var ids []string
 	receiverIsLocal := false
@@ -216,7 +213,11 @@
 }
 
 func (d *Directory) namesAsHeard(now time.Duration, e *entry) bool {
-	return d.relaySince < 0 || !d.local(e) || now-e.detached <= evidenceAge
+	if d.relaySince < 0 {
+		p := d.peers[e.record.GetControlAddress()]
+		return p != nil && p.failingSince < 0
+	}
+	return !d.local(e) || now-e.detached <= evidenceAge
 }
 
 // HandleReply takes the reply to a call. It returns a further call if the reply was cut.
@@ -323,7 +324,7 @@
 		return
 	}
 	e.hear(now)
-	if len(request.GetHeardNodes()) == 0 {
+	if !slices.Contains(request.GetHeardNodes(), d.otherRelay) {
 		e.detached = now
 	}
 }
