Bound the age of attempts by the guard's own clock

Cause: an attempt ID carried the entry's wall-clock time, and a guard let records expire by comparing it with its own clock. With the clocks of two VMs apart by more than the margin, a late copy could run after the caller was told not run, and a skew of some minutes refused all work. Ruled out: a wider margin (still compares clocks), records without expiry (memory). Change: replies carry a reading of the guard's clock and attempt IDs carry the last reading known; work that is not idempotent is taken only with a recent reading of the same incarnation. An attempt without a reading is never taken, so its loss is not run without asking. The property test of the ledger now draws any age of the reading where it drew a bounded skew. Before: work refused or expired by two clocks, margin 3 to 8 min. After: one clock; the first non-idempotent attempt of an entry to a guard, and one after 5 min of silence, costs one more round trip.

--- a/attempt/ledger.go
+++ b/attempt/ledger.go
@@ -1,11 +1,10 @@
 // Package attempt records what a guard did with each attempt, so that no
 // attempt is dispatched twice and a lost answer can be accounted for.
 //
-// A record expires Retention after its attempt ended. Expiry is safe because a
-// guard relies on the absence of a record only within MaxAge of the time at
-// which the entry sent the attempt, by the wall clocks of both nodes. After
-// that it refuses the attempt and resolves it as unknown. This holds while the
-// clocks of two nodes differ by less than Retention - MaxAge.
+// A record expires Retention after its attempt ended. Expiry is safe because an
+// attempt carries a reading of the guard's own clock from before it was sent,
+// and is taken only within MaxAge of that reading: a copy that arrives after
+// its record has expired is too old to be taken. No clock of another node counts.
 package attempt
 
 import (
@@ -16,7 +15,7 @@
 // Retention periods.
 const (
 	// Retention is how long a tombstone, or the record of an ended attempt, is kept.
-	Retention = 10 * time.Minute
+	Retention = 20 * time.Minute
 	// AnswerRetention is how long a retained answer is kept.
 	AnswerRetention = 30 * time.Second
 	// MaxAge bounds the time between the sending of an attempt and its arrival or
@@ -34,8 +33,8 @@
 	TotalBytes int
 }
 
-// DefaultLimits holds 10 min of attempts at 400 a second, five times the rate
-// of a node at the target size, and 32 MB of answers.
+// DefaultLimits holds 20 min of attempts at 200 a second, more than twice the
+// rate of a node at the target size, and 32 MB of answers.
 var DefaultLimits = Limits{Records: 1 << 18, AnswerBytes: 1 << 20, TotalBytes: 32 << 20}
 
 // State is what a ledger knows about an attempt.
@@ -104,8 +103,8 @@
 	return &Ledger{limits: l, records: make(map[string]*record)}
 }
 
-// Arrive takes an attempt that its entry sent at the wall-clock time sent.
-func (l *Ledger) Arrive(id string, sent, now time.Time) Verdict {
+// Arrive takes an attempt that carries the reading known of the guard's clock.
+func (l *Ledger) Arrive(id string, known, now time.Time) Verdict {
 	l.expire(now)
 	if r, ok := l.records[id]; ok {
 		if r.state == NotRun {
@@ -113,19 +112,13 @@
 		}
 		return RefusedDuplicate
 	}
-	if now.Round(0).Sub(sent) > MaxAge {
+	if !recent(known, now) {
 		return RefusedTooOld
 	}
 	if len(l.records) >= l.limits.Records {
 		return RefusedFull
 	}
-	r := &record{state: Queued}
-	l.records[id] = r
-	if !recent(sent, now) {
-		// The clock of the entry is fast: a copy would be recent later.
-		l.end(id, r, NotRun, now)
-		return RefusedNotRun
-	}
+	l.records[id] = &record{state: Queued}
 	return Taken
 }
 
@@ -181,14 +174,14 @@
 	l.answers.push(id, now.Add(AnswerRetention))
 }
 
-// Resolve decides an attempt, sent at the wall-clock time sent, whose answer was
+// Resolve decides an attempt, which carries the reading known, whose answer was
 // lost. An unseen or queued attempt is not run from now on. An unseen one is
 // unknown when its record can have expired or its tombstone finds no room.
-func (l *Ledger) Resolve(id string, sent, now time.Time) State {
+func (l *Ledger) Resolve(id string, known, now time.Time) State {
 	l.expire(now)
 	r, ok := l.records[id]
 	if !ok {
-		if len(l.records) >= l.limits.Records || !recent(sent, now) {
+		if len(l.records) >= l.limits.Records || !recent(known, now) {
 			return Unknown
 		}
 		r = &record{}
@@ -210,9 +203,12 @@
 	return r.answer, true
 }
 
-// recent reports whether sent is within MaxAge of now. Round strips the
-// monotonic reading, because sent comes from the clock of another node.
-func recent(sent, now time.Time) bool { return now.Round(0).Sub(sent).Abs() <= MaxAge }
+// recent reports whether the reading known is at most MaxAge old. A reading of
+// the future is not one of this guard's clock.
+func recent(known, now time.Time) bool {
+	age := now.Sub(known)
+	return age >= 0 && age <= MaxAge
+}
 
 func (l *Ledger) end(id string, r *record, s State, now time.Time) {
 	r.state = s
--- a/attempt/ledger_test.go
+++ b/attempt/ledger_test.go
@@ -26,8 +26,8 @@
 var ids = rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"})
 
 // Guards against an attempt that is dispatched twice, and against "not run" for
-// one that was or later is dispatched. Copies and resolutions may come after
-// expiry, and the clocks differ by less than Retention - MaxAge.
+// one that was or later is dispatched. Copies and resolutions may come at any
+// time after the reading that the attempt carries, also after expiry.
 func TestLedgerKeepsItsWord(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := Limits{Records: rapid.IntRange(2, 8).Draw(t, "records"), AnswerBytes: 10, TotalBytes: 25}
@@ -55,17 +55,16 @@
 	m.now = m.now.Add(step.Draw(t, "step"))
 }
 
-// send fixes the time of sending by the clock of the entry.
+// send fixes the reading of the guard's clock, which is from before the sending.
 func (m *model) send(t *rapid.T, id string) {
 	if _, ok := m.sent[id]; ok {
 		return
 	}
-	bound := int64((Retention - MaxAge - time.Second) / time.Second)
-	skew := rapid.OneOf(rapid.Just(int64(0)), rapid.Int64Range(-bound, bound)).Draw(t, "skew")
-	m.sent[id] = m.now.Add(time.Duration(skew) * time.Second)
+	age := rapid.Int64Range(0, int64(2*Retention/time.Second)).Draw(t, "age of the reading")
+	m.sent[id] = m.now.Add(-time.Duration(age) * time.Second)
 }
 
-// arrive delivers the attempt, or another copy of it with the same time of sending.
+// arrive delivers the attempt, or another copy of it with the same reading.
 func (m *model) arrive(t *rapid.T) {
 	id := ids.Draw(t, "id")
 	m.send(t, id)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -28,6 +28,7 @@
 type try struct {
 	*task
 	id      string
+	known   hop.GuardTime
 	backend membership.Backend
 	w       http.ResponseWriter
 	r       *http.Request
@@ -36,7 +37,8 @@
 // attempt makes one attempt. It returns nil when the caller has its reply, and
 // aborts the caller's connection when a reply that has begun cannot be completed.
 func (t *task) attempt(w http.ResponseWriter, r *http.Request, b membership.Backend, force bool) *refusal {
-	y := &try{task: t, id: hop.NewAttemptID(time.Now()), backend: b, w: w, r: r}
+	known := t.entry.readings.known(b.Guard)
+	y := &try{task: t, id: hop.NewAttemptID(known), known: known, backend: b, w: w, r: r}
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(hopGrace))
 	defer cancel()
 	out, sending := exchange.NewRequest(ctx, r, b.Guard.HopAddress, t.body.reader())
@@ -58,6 +60,7 @@
 		return y.lost()
 	}
 	defer res.Body.Close()
+	t.entry.readings.learn(b.Guard, res.Header.Get(hop.HeaderGuardTime))
 	replied := true
 	defer func() {
 		// An upload that the answer did not wait for must not delay its end.
@@ -152,6 +155,9 @@
 	if y.route.Idempotent {
 		return unknown(y.lostReason(), "the answer was lost")
 	}
+	if y.known == (hop.GuardTime{}) {
+		return notRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard takes no work without a reading of its clock")
+	}
 	state, answer := y.resolve()
 	switch {
 	case state == attempt.NotRun:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,7 @@
 type Entry struct {
 	config    Config
 	transport *http.Transport
+	readings  readings
 }
 
 const (
--- a/entry/task.go
+++ b/entry/task.go
@@ -49,7 +49,12 @@
 		}
 		b := t.entry.config.Picker.Pick(left)
 		left = slices.DeleteFunc(slices.Clone(left), func(o membership.Backend) bool { return o.ID == b.ID })
-		last = t.attempt(w, r, b, final && n > 1 && allSuspect)
+		force := final && n > 1 && allSuspect
+		last = t.attempt(w, r, b, force)
+		if last != nil && last.reason == hop.ReasonStaleGuardTime && t.mayRetry(r.Context(), last) {
+			// The refusal brought the reading that the guard asks for.
+			last = t.attempt(w, r, b, force)
+		}
 		if last == nil || !t.mayRetry(r.Context(), last) {
 			break
 		}
--- a/guard/calls.go
+++ b/guard/calls.go
@@ -25,10 +25,10 @@
 	return &calls{ledger: attempt.NewLedger(l), active: make(map[string]call)}
 }
 
-func (c *calls) arrive(id string, sent time.Time, cancel context.CancelFunc) attempt.Verdict {
+func (c *calls) arrive(id string, known time.Time, cancel context.CancelFunc) attempt.Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := c.ledger.Arrive(id, sent, time.Now())
+	v := c.ledger.Arrive(id, known, time.Now())
 	if v == attempt.Taken {
 		c.active[id] = call{cancel: cancel, done: make(chan struct{})}
 	}
@@ -78,10 +78,10 @@
 
 // resolve decides the attempt; an attempt that was queued is cancelled.
 // done is closed at the end of an attempt in progress.
-func (c *calls) resolve(id string, sent time.Time) (s attempt.State, done <-chan struct{}) {
+func (c *calls) resolve(id string, known time.Time) (s attempt.State, done <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s = c.ledger.Resolve(id, sent, time.Now())
+	s = c.ledger.Resolve(id, known, time.Now())
 	active := c.active[id]
 	if s == attempt.NotRun && active.cancel != nil {
 		active.cancel()
@@ -90,10 +90,10 @@
 }
 
 // cancel resolves the attempt and ends it if it is in progress.
-func (c *calls) cancel(id string, sent time.Time) {
+func (c *calls) cancel(id string, known time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ledger.Resolve(id, sent, time.Now())
+	c.ledger.Resolve(id, known, time.Now())
 	if active, ok := c.active[id]; ok {
 		active.cancel()
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +35,7 @@
 	config   Config
 	registry *registry
 	calls    *calls
+	clock    clock
 	stopping atomic.Bool
 }
 
@@ -51,6 +51,7 @@
 		config:   c,
 		registry: &registry{self: c.Self, servers: make(map[string]server)},
 		calls:    newCalls(c.Limits),
+		clock:    newClock(c.Self.Incarnation),
 	}
 }
 
@@ -76,8 +77,8 @@
 // ServeHTTP takes one attempt.
 func (g *Guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if id := r.Header.Get(hop.HeaderCancel); id != "" {
-		if sent, ok := hop.AttemptSent(id); ok {
-			g.calls.cancel(id, sent)
+		if known, ok := g.clock.attemptTime(id); ok {
+			g.calls.cancel(id, known)
 		}
 		w.WriteHeader(http.StatusNoContent)
 		return
@@ -89,7 +90,16 @@
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), j.Deadline)
 	defer cancel()
-	if v := g.calls.arrive(j.id, j.sent, cancel); v != attempt.Taken {
+	known, ok := g.clock.at(j.reading)
+	if !ok && !j.Idempotent {
+		// The ID stays without a reading of this clock, so no copy is taken later.
+		g.fail(w, j, http.StatusServiceUnavailable, hop.OutcomeNotRun, hop.ReasonStaleGuardTime)
+		return
+	}
+	if !ok {
+		known = time.Now()
+	}
+	if v := g.calls.arrive(j.id, known, cancel); v != attempt.Taken {
 		g.refuseArrival(w, j, v)
 		return
 	}
@@ -209,7 +219,7 @@
 func (g *Guard) stamp(h http.Header, j job, o hop.Outcome) {
 	used, limit := g.config.Admission.Load(j.BackendID)
 	h.Set(hop.HeaderOutcome, string(o))
-	h.Set(hop.HeaderGuardIncarnation, strconv.FormatUint(g.config.Self.Incarnation, 10))
+	h.Set(hop.HeaderGuardTime, g.clock.read().String())
 	h.Set(hop.HeaderLoad, fmt.Sprintf("%d/%d", used, limit))
 	h.Set(hop.HeaderHealth, string(g.config.Observer.State(j.BackendID)))
 }
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -80,6 +80,9 @@
 	return hop.Outcome(res.Header.Get(hop.HeaderOutcome)), hop.Reason(res.Header.Get(hop.HeaderReason))
 }
 
+// newID returns the ID of an attempt whose entry has just heard from the guard.
+func (f *fixture) newID() string { return hop.NewAttemptID(f.guard.clock.read()) }
+
 func (f *fixture) resolve(id string) attempt.State {
 	return f.guard.Resolve(context.Background(), id, incarnation, 0)
 }
@@ -101,7 +104,7 @@
 // Guards against a second dispatch of a copy, and against "not run" for an attempt that runs.
 func TestCopyOfAttemptIsNotDispatched(t *testing.T) {
 	f := newFixture(t)
-	id := hop.NewAttemptID(time.Now())
+	id := f.newID()
 	done := make(chan hop.Outcome, 1)
 	go func() {
 		o, _ := f.do(id)
@@ -127,9 +130,9 @@
 // against unseen work that arrives after it.
 func TestResolvedWorkIsNeverDispatched(t *testing.T) {
 	f := newFixture(t)
-	go f.do(hop.NewAttemptID(time.Now()))
+	go f.do(f.newID())
 	f.until("running", func() bool { return f.runs.Load() == 1 })
-	queued, unseen := hop.NewAttemptID(time.Now()), hop.NewAttemptID(time.Now())
+	queued, unseen := f.newID(), f.newID()
 	done := make(chan hop.Outcome, 1)
 	go func() {
 		o, _ := f.do(queued)
@@ -151,7 +154,7 @@
 // and against dispatched work that stops with it.
 func TestLossOfEntryConnection(t *testing.T) {
 	f := newFixture(t)
-	first, second := hop.NewAttemptID(time.Now()), hop.NewAttemptID(time.Now())
+	first, second := f.newID(), f.newID()
 	firstCtx, loseFirst := context.WithCancel(context.Background())
 	go http.DefaultClient.Do(f.request(firstCtx, first))
 	f.until("running", func() bool { return f.runs.Load() == 1 })
@@ -174,11 +177,23 @@
 	l.Close()
 	f.backend = strings.TrimPrefix(l.URL, "http://")
 	assert.Equal(t, f.announce("good", f.backend, membership.StateReady), http.StatusNoContent)
-	outcome, reason := f.do(hop.NewAttemptID(time.Now()))
+	outcome, reason := f.do(f.newID())
 	assert.Equal(t, outcome, hop.OutcomeNotRun)
 	assert.Equal(t, reason, hop.ReasonUnreachable)
 }
 
+// Guards against work that is taken although no record of a copy of it could be relied on.
+func TestAttemptWithoutReadingOfThisClockIsRefused(t *testing.T) {
+	f := newFixture(t)
+	close(f.proceed)
+	for _, reading := range []hop.GuardTime{{}, {Incarnation: incarnation + 1}} {
+		outcome, reason := f.do(hop.NewAttemptID(reading))
+		assert.Equal(t, outcome, hop.OutcomeNotRun)
+		assert.Equal(t, reason, hop.ReasonStaleGuardTime)
+	}
+	assert.Equal(t, f.runs.Load(), int32(0))
+}
+
 // Guards against announcements without a right to them, and against backend
 // servers that stay listed after they fell silent.
 func TestAnnouncements(t *testing.T) {
--- a/guard/resolve.go
+++ b/guard/resolve.go
@@ -7,7 +7,6 @@
 
 	"github.com/jackdawlane/jackdawlane/attempt"
 	jackdawlanev1 "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
-	"github.com/jackdawlane/jackdawlane/hop"
 )
 
 // maxResolveWait bounds how long a resolution waits for a running attempt.
@@ -17,11 +16,11 @@
 // runs. It returns Dispatched when the attempt still runs after that, and
 // Unknown for another incarnation of the guard.
 func (g *Guard) Resolve(ctx context.Context, id string, incarnation uint64, wait time.Duration) attempt.State {
-	sent, ok := hop.AttemptSent(id)
+	known, ok := g.clock.attemptTime(id)
 	if !ok || incarnation != g.config.Self.Incarnation {
 		return attempt.Unknown
 	}
-	state, done := g.calls.resolve(id, sent)
+	state, done := g.calls.resolve(id, known)
 	if state != attempt.Dispatched {
 		return state
 	}
@@ -29,7 +28,7 @@
 	defer timer.Stop()
 	select {
 	case <-done:
-		state, _ = g.calls.resolve(id, sent)
+		state, _ = g.calls.resolve(id, known)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/guard/work.go
+++ b/guard/work.go
@@ -22,7 +22,8 @@
 	Work
 	id      string
 	service string
-	sent    time.Time
+	// reading is that of the guard's clock which the attempt carries.
+	reading hop.GuardTime
 	force   bool
 }
 
@@ -39,7 +40,7 @@
 		force:   h.Get(hop.HeaderForce) == "true",
 	}
 	var ok bool
-	if j.sent, ok = hop.AttemptSent(j.id); !ok {
+	if j.reading, ok = hop.AttemptGuardTime(j.id); !ok {
 		return j, errors.Wrap(ErrBadHop, hop.HeaderAttempt)
 	}
 	timeout, err := strconv.ParseInt(h.Get(hop.HeaderTimeoutMS), 10, 64)
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -2,12 +2,8 @@
 package hop
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"net/http"
-	"strconv"
 	"strings"
-	"time"
 )
 
 // HeaderPrefix starts every header of the project. Headers with this prefix
@@ -32,11 +28,11 @@
 
 // Reply headers. Outcome and Reason also reach the caller.
 const (
-	HeaderOutcome          = "Jackdawlane-Outcome"
-	HeaderReason           = "Jackdawlane-Reason"
-	HeaderGuardIncarnation = "Jackdawlane-Guard-Incarnation"
-	HeaderLoad             = "Jackdawlane-Load"
-	HeaderHealth           = "Jackdawlane-Health"
+	HeaderOutcome   = "Jackdawlane-Outcome"
+	HeaderReason    = "Jackdawlane-Reason"
+	HeaderGuardTime = "Jackdawlane-Guard-Time"
+	HeaderLoad      = "Jackdawlane-Load"
+	HeaderHealth    = "Jackdawlane-Health"
 )
 
 // Outcome is what a caller may conclude from a reply.
@@ -75,31 +71,9 @@
 	ReasonRetryBudget    Reason = "retry-budget"
 	ReasonBodyTooLarge   Reason = "body-too-large"
 	ReasonNotConfigured  Reason = "not-configured"
-	ReasonGuardRestarted Reason = "guard-restarted"
+	ReasonStaleGuardTime Reason = "stale-guard-time"
 )
 
-// attemptIDBytes makes attempt IDs unguessable and free of collisions.
-const attemptIDBytes = 16
-
-// NewAttemptID returns a random attempt ID in hex, followed by '-' and the
-// wall-clock time of sending in Unix milliseconds. The time tells a guard
-// whether its record of the attempt can have expired.
-func NewAttemptID(sent time.Time) string {
-	var b [attemptIDBytes]byte
-	rand.Read(b[:])
-	return hex.EncodeToString(b[:]) + "-" + strconv.FormatInt(sent.UnixMilli(), 10)
-}
-
-// AttemptSent returns the time of sending in an attempt ID.
-func AttemptSent(id string) (time.Time, bool) {
-	random, ms, _ := strings.Cut(id, "-")
-	sent, err := strconv.ParseInt(ms, 10, 64)
-	if err != nil || len(random) != hex.EncodedLen(attemptIDBytes) {
-		return time.Time{}, false
-	}
-	return time.UnixMilli(sent), true
-}
-
 // DropProjectHeaders removes every header of the project from h.
 func DropProjectHeaders(h http.Header) {
 	for name := range h {
