--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -102,6 +102,9 @@
 	routes := []route.Route{
 		{Name: "work", Organisation: "org", PathPrefix: "/work", Pool: "pool", TimeoutMS: ms},
 		{Name: "read", Organisation: "org", PathPrefix: "/read", Pool: "pool", Idempotent: true, TimeoutMS: ms},
+		// These outlast waitLimit, so that only a cancellation ends their work in a test.
+		{Name: "long-work", Organisation: "org", PathPrefix: "/long/work", Pool: "pool", TimeoutMS: 60_000},
+		{Name: "long-read", Organisation: "org", PathPrefix: "/long/read", Pool: "pool", Idempotent: true, TimeoutMS: 60_000},
 		{Name: "lost", Organisation: "org", PathPrefix: "/lost", Pool: "absent"},
 		{Name: "idle", Organisation: "org", PathPrefix: "/idle", Pool: "idle"},
 	}
--- a/entry/lost_test.go
+++ b/entry/lost_test.go
@@ -102,6 +102,10 @@
 // Guards against "not run", or a retry, after the guard that took the work lost its records.
 func TestGuardRestartIsUnknown(t *testing.T) {
 	p := newPair(t)
+	// Fills the retry budget, which must not be used for this work.
+	for range 20 {
+		assert.Equal(t, p.do(p.request("POST", "/work", "")).outcome(), "answer")
+	}
 	done := p.start(p.work("/work", 100))
 	p.untilRunning()
 	p.nodes[0].start(nil)
@@ -191,7 +195,7 @@
 
 // Guards against work that goes on after its caller has gone.
 func TestCallerGoneCancelsWork(t *testing.T) {
-	for _, path := range []string{"/work", "/read"} {
+	for _, path := range []string{"/long/work", "/long/read"} {
 		p := newPair(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := p.start(p.work(path, int(time.Hour.Milliseconds())).WithContext(ctx))
