--- a/node/node.go
+++ b/node/node.go
@@ -64,7 +64,7 @@
 	n.guard = guard.New(guard.Config{
 		Self:        ownGuard(s, incarnation),
 		MayAnnounce: n.mayAnnounce,
-		Limits:      attempt.DefaultLimits,
+		Limits:      ledgerLimits(s.Limit),
 	})
 	n.entry = entry.New(entry.Config{
 		Region:     s.Node.Region,
@@ -78,6 +78,12 @@
 	return n, nil
 }
 
+func ledgerLimits(s settings.Limits) attempt.Limits {
+	limits := attempt.DefaultLimits
+	limits.AnswerBytes = s.AnswerBytes
+	return limits
+}
+
 func (n *Node) mayAnnounce(service, credential string) bool {
 	return n.config.Snapshot().MayAnnounce(service, credential)
 }
