Admit with the pure queue and choose with the pure picker

The guard holds one admission.Queue for each backend server, behind a mutex and a timer, in place of the first-in-first-out slot limiter. It reports announcements and results to the queue, and the load in Jackdawlane-Load. An answer leaves its own work out of the load, because its head is written before the work ends and an idle backend server with one slot would seem full.

The entry chooses with balance.Picker and retries within retry.Budget. Work refused because of load is tried elsewhere within 25 ms only.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -9,7 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jackdawlane/jackdawlane/admission"
 	"github.com/jackdawlane/jackdawlane/attempt"
+	"github.com/jackdawlane/jackdawlane/balance"
 	"github.com/jackdawlane/jackdawlane/exchange"
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/membership"
@@ -29,28 +31,31 @@
 	*task
 	id      string
 	backend membership.Backend
+	ending  ending
 	w       http.ResponseWriter
 	r       *http.Request
 }
 
 // attempt makes one attempt. It returns nil when the caller has its reply, and
 // aborts the caller's connection when a reply that has begun cannot be completed.
-func (t *task) attempt(w http.ResponseWriter, r *http.Request, b membership.Backend, force bool) *refusal {
+func (t *task) attempt(w http.ResponseWriter, r *http.Request, c balance.Choice, bytes int64) *refusal {
+	b := c.Backend
 	y := &try{task: t, id: hop.NewAttemptID(time.Now()), backend: b, w: w, r: r}
+	defer func() { y.end(c, bytes) }()
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(hopGrace))
 	defer cancel()
 	out, sending := exchange.NewRequest(ctx, r, b.Guard.HopAddress, t.body.reader())
-	y.prepare(out.Header, force)
+	y.prepare(out.Header, c.Force)
 	defer context.AfterFunc(ctx, func() { sending.Interrupt(w) })()
 	// Keeps the transport from reading the body after the attempt.
 	defer sending.Close()
 	reply := exchange.NewReply(w)
 	res, sent, err := exchange.Do(t.entry.transport, out, reply.Informational)
 	reply.Close()
+	y.ending.replied = err == nil
+	y.ending.failed = err != nil && r.Context().Err() == nil
 	if err != nil && !sent {
-		f := notRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard cannot be reached")
-		f.guardDown = true
-		return f
+		return notRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard cannot be reached")
 	}
 	if err != nil {
 		// Waits until a Read that failed has said why.
@@ -93,9 +98,20 @@
 	}
 }
 
+// end records what the attempt showed of the backend server and the path to it.
+func (y *try) end(c balance.Choice, expected int64) {
+	y.ending.expected = expected
+	y.ending.actual += y.size + y.body.read()
+	y.entry.balancer.end(c, y.ending)
+}
+
 // judge acts on the guard's reply.
 func (y *try) judge(reply *exchange.Reply, res *http.Response) *refusal {
 	reason := hop.Reason(res.Header.Get(hop.HeaderReason))
+	y.ending.reply.Reason = reason
+	if load, _, err := admission.ParseLoad(res.Header.Get(hop.HeaderLoad)); err == nil {
+		y.ending.reply.Load, y.ending.reply.HasLoad = load, true
+	}
 	switch hop.Outcome(res.Header.Get(hop.HeaderOutcome)) {
 	case hop.OutcomeAnswer:
 		y.deliver(reply, res)
@@ -119,6 +135,7 @@
 		reply.Flush()
 	}
 	offset, err := reply.Copy(res.Body, streamed, func([]byte) {})
+	y.ending.actual += offset
 	if err == nil {
 		reply.Trailer(res.Trailer)
 		return
--- a/entry/body.go
+++ b/entry/body.go
@@ -57,6 +57,17 @@
 // replayable reports whether reader can be called again.
 func (b *body) replayable() bool { return b.rest == nil || !b.rest.used.Load() }
 
+// length is the known length of the body of r.
+func (b *body) length(r *http.Request) int64 { return max(r.ContentLength, int64(len(b.prefix))) }
+
+// read is the length of the body that was read from the caller.
+func (b *body) read() int64 {
+	if b.rest == nil {
+		return int64(len(b.prefix))
+	}
+	return b.rest.n.Load()
+}
+
 // stalled reports whether the body stopped making progress.
 func (b *body) stalled() bool { return b.rest != nil && b.rest.stalled.Load() }
 
@@ -65,6 +76,7 @@
 	reader     io.Reader
 	controller *http.ResponseController
 	timeout    time.Duration
+	n          atomic.Int64
 	used       atomic.Bool
 	stalled    atomic.Bool
 }
@@ -73,6 +85,7 @@
 	s.used.Store(true)
 	s.controller.SetReadDeadline(time.Now().Add(s.timeout))
 	n, err := s.reader.Read(p)
+	s.n.Add(int64(n))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		s.stalled.Store(true)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,16 +30,15 @@
 	View func() *membership.View
 	// Resolver asks guards about lost answers.
 	Resolver Resolver
-	// Picker may be nil: then the choice is random among the nearest.
-	Picker Picker
-	// Budget may be nil: then 10 % of requests may be retried.
-	Budget Budget
-	Limits settings.Limits
+	// RetryMinimum is the retries per second allowed without traffic.
+	RetryMinimum float64
+	Limits       settings.Limits
 }
 
 // Entry is the http.Handler of the traffic address.
 type Entry struct {
 	config    Config
+	balancer  *balancer
 	transport *http.Transport
 }
 
@@ -52,15 +52,9 @@
 
 // New returns an entry.
 func New(c Config) *Entry {
-	if c.Picker == nil {
-		c.Picker = nearest{region: c.Region, dataCentre: c.DataCentre}
-	}
-	if c.Budget == nil {
-		c.Budget = &shareBudget{}
-	}
 	t := exchange.NewTransport(0, maxIdleHopConns)
 	t.ExpectContinueTimeout = continueTimeout
-	return &Entry{config: c, transport: t}
+	return &Entry{config: c, balancer: newBalancer(c), transport: t}
 }
 
 // Server returns the server of the traffic address: HTTP/1.1, and HTTP/2 with prior knowledge.
@@ -87,7 +81,7 @@
 		refused.write(w)
 		return
 	}
-	e.config.Budget.Request()
+	e.balancer.request()
 	http.NewResponseController(w).EnableFullDuplex()
 	t.run(w, r)
 }
@@ -120,6 +114,7 @@
 	}
 	return &task{
 		entry:    e,
+		size:     int64(headerBytes(r)),
 		route:    rt,
 		pool:     p,
 		version:  snapshot.Version(),
@@ -178,21 +173,15 @@
 	return time.Duration(seconds * float64(time.Second)), true
 }
 
-// candidates returns the backend servers that may serve in the pool, without
-// ejected ones unless all are ejected.
+// candidates returns the ready backend servers in the regions of the pool. The
+// caller must not change them.
 func (e *Entry) candidates(p pool.Pool) []membership.Backend {
-	var ready, ejected []membership.Backend
-	for _, b := range e.config.View().Backends(p.Service) {
-		switch {
-		case b.State != membership.StateReady || !p.Allows(b.Guard.Region):
-		case b.Ejected:
-			ejected = append(ejected, b)
-		default:
-			ready = append(ready, b)
-		}
+	unusable := func(b membership.Backend) bool {
+		return b.State != membership.StateReady || !p.Allows(b.Guard.Region)
 	}
-	if len(ready) == 0 {
-		return ejected
+	all := e.config.View().Backends(p.Service)
+	if !slices.ContainsFunc(all, unusable) {
+		return all
 	}
-	return ready
+	return slices.DeleteFunc(slices.Clone(all), unusable)
 }
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -19,8 +19,6 @@
 	outcome hop.Outcome
 	reason  hop.Reason
 	detail  string
-	// guardDown is set when the guard could not be reached at all.
-	guardDown bool
 }
 
 func notRun(status int, reason hop.Reason, detail string) *refusal {
--- a/entry/task.go
+++ b/entry/task.go
@@ -3,17 +3,22 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
+	"github.com/jackdawlane/jackdawlane/balance"
 	"github.com/jackdawlane/jackdawlane/hop"
-	"github.com/jackdawlane/jackdawlane/membership"
 	"github.com/jackdawlane/jackdawlane/pool"
 	"github.com/jackdawlane/jackdawlane/route"
 )
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 3
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 3
+	// retryWithin is the time in which work that a loaded backend server refused
+	// is tried elsewhere. With one more wait of 20 ms in a queue, the last
+	// refusal reaches the caller within 50 ms.
+	retryWithin = 25 * time.Millisecond
+)
 
 // task is one request of a caller on its way.
 type task struct {
@@ -23,43 +28,39 @@
 	version  uint64
 	deadline time.Time
 	body     *body
+	// size is that of the request's headers in bytes.
+	size int64
+	// started is when the first attempt could be made.
+	started time.Time
 }
 
 // run makes attempts until the caller has a reply.
 func (t *task) run(w http.ResponseWriter, r *http.Request) {
-	if !time.Now().Before(t.deadline) {
+	t.started = time.Now()
+	if !t.started.Before(t.deadline) {
 		notRun(http.StatusServiceUnavailable, hop.ReasonTimeout, "the time of the request is over").write(w)
 		return
 	}
 	candidates := t.entry.candidates(t.pool)
-	if len(candidates) == 0 {
-		notRun(http.StatusServiceUnavailable, hop.ReasonNoBackend, "no backend server of the pool is ready").write(w)
-		return
-	}
-	left := slices.Clone(candidates)
+	refused := notRun(http.StatusServiceUnavailable, hop.ReasonNoBackend, "no backend server of the pool can be used")
+	attempt := balance.Attempt{Tried: make(map[string]hop.Reason), Bytes: t.size + t.body.length(r)}
 	allSuspect := true
-	var last *refusal
 	for n := 1; n <= maxAttempts; n++ {
-		final := n == maxAttempts || len(left) == 0
-		if len(left) == 0 {
-			if !allSuspect {
-				break
-			}
-			left = candidates
-		}
-		b := t.entry.config.Picker.Pick(left)
-		left = slices.DeleteFunc(slices.Clone(left), func(o membership.Backend) bool { return o.ID == b.ID })
-		last = t.attempt(w, r, b, final && n > 1 && allSuspect)
-		if last == nil || !t.mayRetry(r.Context(), last) {
+		choice, ok := t.entry.balancer.pick(t.pool.Service, candidates, attempt)
+		if !ok {
 			break
 		}
-		if last.guardDown {
-			left = slices.DeleteFunc(left, func(o membership.Backend) bool { return o.Guard.HopAddress == b.Guard.HopAddress })
+		// Suspicion alone takes no capacity away, so the last attempt does not heed it.
+		choice.Force = choice.Force || n == maxAttempts && allSuspect
+		refused = t.attempt(w, r, choice, attempt.Bytes)
+		if refused == nil || !t.mayRetry(r.Context(), refused) {
+			break
 		}
-		allSuspect = allSuspect && last.reason == hop.ReasonSuspect
+		attempt.Tried[choice.Backend.ID] = refused.reason
+		allSuspect = allSuspect && refused.reason == hop.ReasonSuspect
 	}
-	if last != nil {
-		last.write(w)
+	if refused != nil {
+		refused.write(w)
 	}
 }
 
@@ -69,7 +70,8 @@
 		return false
 	}
 	if f.outcome == hop.OutcomeNotRun {
-		return true
+		loaded := f.reason == hop.ReasonFull || f.reason == hop.ReasonTimeout
+		return !loaded || time.Since(t.started) < retryWithin
 	}
-	return t.route.Idempotent && t.entry.config.Budget.TakeRetry()
+	return t.route.Idempotent && t.entry.balancer.allowRetry()
 }
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/jackdawlane/jackdawlane/admission"
 	"github.com/jackdawlane/jackdawlane/attempt"
 	"github.com/jackdawlane/jackdawlane/exchange"
 	"github.com/jackdawlane/jackdawlane/hop"
@@ -28,18 +29,18 @@
 	res, sent, err := exchange.Do(s.transport, out, reply.Informational)
 	reply.Close()
 	if err != nil {
-		g.dispatchFailed(ctx, w, j, sent, start)
+		g.dispatchFailed(ctx, w, j, s, sent, start)
 		return
 	}
 	defer res.Body.Close()
 	err = g.relay(reply, res, j)
 	if errors.Is(err, exchange.ErrRead) {
-		g.observe(ctx, j, Failed, start)
+		g.observe(ctx, j, s, Failed, start)
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	g.observe(ctx, j, resultOf(res.StatusCode), start)
+	g.observe(ctx, j, s, resultOf(res.StatusCode), start)
 }
 
 // prepare replaces the headers of the hop by those for the backend server.
@@ -49,24 +50,24 @@
 	if len(key) > 0 {
 		out.Header["Idempotency-Key"] = key
 	}
-	left := max(time.Until(j.Deadline), time.Millisecond)
+	left := max(time.Until(j.deadline), time.Millisecond)
 	out.Header.Set("Request-Timeout", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
 }
 
-func (g *Guard) dispatchFailed(ctx context.Context, w http.ResponseWriter, j job, sent bool, start time.Time) {
+func (g *Guard) dispatchFailed(ctx context.Context, w http.ResponseWriter, j job, s server, sent bool, start time.Time) {
 	reason := hop.ReasonUnreachable
 	if ctx.Err() != nil {
 		reason = reasonOf(ctx)
 	}
 	if !sent {
 		if ctx.Err() == nil {
-			g.observe(ctx, j, Failed, start)
+			g.observe(ctx, j, s, Failed, start)
 		}
 		g.refuse(w, j, reason)
 		return
 	}
 	g.calls.finish(j.id, nil)
-	g.observe(ctx, j, Failed, start)
+	g.observe(ctx, j, s, Failed, start)
 	if reason == hop.ReasonUnreachable {
 		reason = hop.ReasonAnswerLost
 	}
@@ -89,9 +90,9 @@
 	if streamed {
 		reply.Flush()
 	}
-	a := &answer{calls: g.calls, id: j.id, lost: j.Idempotent}
+	a := &answer{calls: g.calls, id: j.id, lost: j.idempotent}
 	_, err := reply.Copy(res.Body, streamed, a.add)
-	if errors.Is(err, exchange.ErrWrite) && !j.Idempotent {
+	if errors.Is(err, exchange.ErrWrite) && !j.idempotent {
 		err = a.drain(res.Body)
 	}
 	if err != nil {
@@ -102,12 +103,20 @@
 	return nil
 }
 
-// observe reports a dispatch, unless it was cancelled.
-func (g *Guard) observe(ctx context.Context, j job, r Result, start time.Time) {
+// admissionResults are the results of dispatches as admission knows them.
+var admissionResults = map[Result]admission.Result{
+	OK: admission.Answered, Failed: admission.Failed, Shed: admission.Shed,
+}
+
+// observe reports a dispatch to the queue and, unless it was cancelled, to the observer.
+func (g *Guard) observe(ctx context.Context, j job, s server, r Result, start time.Time) {
+	latency := time.Since(start)
 	if errors.Is(ctx.Err(), context.Canceled) {
+		s.queue.done(j.id, latency, admission.Cancelled)
 		return
 	}
-	g.config.Observer.Observe(Dispatch{BackendID: j.BackendID, Route: j.Route, Result: r, Latency: time.Since(start)})
+	s.queue.done(j.id, latency, admissionResults[r])
+	g.config.Observer.Observe(Dispatch{BackendID: j.backendID, Route: j.route, Result: r, Latency: latency})
 }
 
 func resultOf(status int) Result {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -5,13 +5,13 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/jackdawlane/jackdawlane/admission"
 	"github.com/jackdawlane/jackdawlane/attempt"
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/membership"
@@ -23,8 +23,6 @@
 	Self membership.Guard
 	// MayAnnounce reports whether a credential allows announcing a service.
 	MayAnnounce func(service, credential string) bool
-	// Admission may be nil: then announced slots limit the work.
-	Admission Admission
 	// Observer may be nil: then every backend server is healthy.
 	Observer Observer
 	// Limits bounds the attempt ledger.
@@ -41,15 +39,12 @@
 
 // New returns a guard.
 func New(c Config) *Guard {
-	if c.Admission == nil {
-		c.Admission = newSlots()
-	}
 	if c.Observer == nil {
 		c.Observer = noObserver{}
 	}
 	return &Guard{
 		config:   c,
-		registry: &registry{self: c.Self, servers: make(map[string]server)},
+		registry: &registry{self: c.Self, clock: newClock(), servers: make(map[string]server)},
 		calls:    newCalls(c.Limits),
 	}
 }
@@ -87,7 +82,7 @@
 		g.fail(w, j, http.StatusBadRequest, hop.OutcomeNotRun, hop.ReasonBadRequest)
 		return
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), j.Deadline)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), j.deadline)
 	defer cancel()
 	if v := g.calls.arrive(j.id, j.sent, cancel); v != attempt.Taken {
 		g.refuseArrival(w, j, v)
@@ -108,14 +103,15 @@
 	queueCtx, cancelQueue := context.WithCancel(ctx)
 	defer cancelQueue()
 	stopQueue := context.AfterFunc(r.Context(), cancelQueue)
-	s, release, reason := g.admit(queueCtx, j)
+	s, reason := g.admit(queueCtx, j)
 	if reason != "" {
 		g.refuse(w, j, reason)
 		return
 	}
-	defer release()
+	// Has no effect when the end of the dispatch was reported.
+	defer s.queue.done(j.id, 0, admission.Cancelled)
 	stopQueue()
-	if j.Idempotent {
+	if j.idempotent {
 		defer context.AfterFunc(r.Context(), cancel)()
 	}
 	if queueCtx.Err() != nil || !g.calls.dispatch(j.id) {
@@ -139,36 +135,35 @@
 }
 
 // admit returns the backend server when the work may be dispatched to it now.
-func (g *Guard) admit(ctx context.Context, j job) (server, func(), hop.Reason) {
+func (g *Guard) admit(ctx context.Context, j job) (server, hop.Reason) {
 	s, reason := g.available(j)
 	if reason != "" {
-		return s, nil, reason
+		return s, reason
 	}
-	release, reason := g.config.Admission.Admit(ctx, j.Work, s.backend.Slots)
-	if reason != "" {
-		return s, nil, reason
+	q := s.queue
+	if reason := q.admit(ctx, j); reason != "" {
+		return s, reason
 	}
 	// It may have left while the work was queued.
 	s, reason = g.available(j)
 	if reason != "" {
-		release()
-		return s, nil, reason
+		q.done(j.id, 0, admission.Cancelled)
 	}
-	return s, release, ""
+	return s, reason
 }
 
 func (g *Guard) available(j job) (server, hop.Reason) {
 	if g.stopping.Load() {
 		return server{}, hop.ReasonStopping
 	}
-	s, ok := g.registry.lookup(j.BackendID, time.Now())
+	s, ok := g.registry.lookup(j.backendID, time.Now())
 	if !ok || s.backend.Service != j.service || s.backend.State == membership.StateStarting {
 		return s, hop.ReasonNoBackend
 	}
 	if s.backend.State == membership.StateLeaving {
 		return s, hop.ReasonLeaving
 	}
-	switch g.config.Observer.State(j.BackendID) {
+	switch g.config.Observer.State(j.backendID) {
 	case Ejected:
 		return s, hop.ReasonEjected
 	case Suspect:
@@ -207,9 +202,10 @@
 
 // stamp sets the reply headers of the hop.
 func (g *Guard) stamp(h http.Header, j job, o hop.Outcome) {
-	used, limit := g.config.Admission.Load(j.BackendID)
+	if s, ok := g.registry.lookup(j.backendID, time.Now()); ok {
+		h.Set(hop.HeaderLoad, s.queue.loadAfter(o).String())
+	}
 	h.Set(hop.HeaderOutcome, string(o))
 	h.Set(hop.HeaderGuardIncarnation, strconv.FormatUint(g.config.Self.Incarnation, 10))
-	h.Set(hop.HeaderLoad, fmt.Sprintf("%d/%d", used, limit))
-	h.Set(hop.HeaderHealth, string(g.config.Observer.State(j.BackendID)))
+	h.Set(hop.HeaderHealth, string(g.config.Observer.State(j.backendID)))
 }
--- a/guard/plug.go
+++ b/guard/plug.go
@@ -1,30 +1,6 @@
 package guard
 
-import (
-	"context"
-	"time"
-
-	"github.com/jackdawlane/jackdawlane/hop"
-)
-
-// Work describes an attempt to the admission point.
-type Work struct {
-	BackendID    string
-	Organisation string
-	Route        string
-	Idempotent   bool
-	Deadline     time.Time
-}
-
-// Admission decides when work may be dispatched.
-type Admission interface {
-	// Admit waits until the work may be dispatched, is refused, or ctx ends.
-	// An empty reason admits it; release must then be called once.
-	// slots is the announced number of slots of the backend server.
-	Admit(ctx context.Context, w Work, slots int) (release func(), reason hop.Reason)
-	// Load returns the queued and running work of a backend server and its limit.
-	Load(backendID string) (used, limit int)
-}
+import "time"
 
 // Health is the judgement on a backend server.
 type Health string
--- a/guard/registry.go
+++ b/guard/registry.go
@@ -18,12 +18,14 @@
 type server struct {
 	backend   membership.Backend
 	transport *http.Transport
+	queue     *queue
 	heard     time.Time
 }
 
 // registry holds the backend servers of a guard.
 type registry struct {
 	self    membership.Guard
+	clock   clock
 	mu      sync.Mutex
 	servers map[string]server
 }
@@ -40,12 +42,20 @@
 		transport = exchange.NewTransport(b.Connections, b.Connections)
 		closeIdle(old)
 	}
-	g.servers[b.ID] = server{backend: b, transport: transport, heard: now}
+	queue := old.queue
+	if ok {
+		queue.announce(b.Slots, b.State)
+	} else {
+		queue = newQueue(g.clock, b.Slots, b.State)
+	}
+	g.servers[b.ID] = server{backend: b, transport: transport, queue: queue, heard: now}
 }
 
+// sweep keeps backend servers that are gone while they have work, which counts
+// against the limit if they come back.
 func (g *registry) sweep(now time.Time) {
 	for id, s := range g.servers {
-		if s.gone(now) {
+		if s.gone(now) && s.queue.idle() {
 			delete(g.servers, id)
 			closeIdle(s)
 		}
@@ -74,7 +84,9 @@
 	g.sweep(now)
 	var bs []membership.Backend
 	for _, s := range g.servers {
-		bs = append(bs, s.backend)
+		if !s.gone(now) {
+			bs = append(bs, s.backend)
+		}
 	}
 	slices.SortFunc(bs, func(a, b membership.Backend) int { return strings.Compare(a.ID, b.ID) })
 	return bs
--- a/guard/work.go
+++ b/guard/work.go
@@ -19,24 +19,26 @@
 
 // job is an attempt as the hop headers describe it.
 type job struct {
-	Work
-	id      string
-	service string
-	sent    time.Time
-	force   bool
+	id           string
+	backendID    string
+	service      string
+	organisation string
+	route        string
+	idempotent   bool
+	force        bool
+	sent         time.Time
+	deadline     time.Time
 }
 
 func parseJob(h http.Header, now time.Time) (job, error) {
 	j := job{
-		Work: Work{
-			BackendID:    h.Get(hop.HeaderBackendServer),
-			Organisation: h.Get(hop.HeaderOrganisation),
-			Route:        h.Get(hop.HeaderRoute),
-			Idempotent:   h.Get(hop.HeaderIdempotent) == "true",
-		},
-		id:      h.Get(hop.HeaderAttempt),
-		service: h.Get(hop.HeaderService),
-		force:   h.Get(hop.HeaderForce) == "true",
+		id:           h.Get(hop.HeaderAttempt),
+		backendID:    h.Get(hop.HeaderBackendServer),
+		service:      h.Get(hop.HeaderService),
+		organisation: h.Get(hop.HeaderOrganisation),
+		route:        h.Get(hop.HeaderRoute),
+		idempotent:   h.Get(hop.HeaderIdempotent) == "true",
+		force:        h.Get(hop.HeaderForce) == "true",
 	}
 	var ok bool
 	if j.sent, ok = hop.AttemptSent(j.id); !ok {
@@ -46,7 +48,7 @@
 	if err != nil || timeout <= 0 || timeout > maxTimeoutMS {
 		return j, errors.Wrap(ErrBadHop, hop.HeaderTimeoutMS)
 	}
-	j.Deadline = now.Add(time.Duration(timeout) * time.Millisecond)
+	j.deadline = now.Add(time.Duration(timeout) * time.Millisecond)
 	return j, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/jackdawlane/jackdawlane/guard"
 	"github.com/jackdawlane/jackdawlane/membership"
 	"github.com/jackdawlane/jackdawlane/objectstore"
+	"github.com/jackdawlane/jackdawlane/retry"
 	"github.com/jackdawlane/jackdawlane/settings"
 	"github.com/jackdawlane/jackdawlane/telemetry"
 )
@@ -67,12 +68,13 @@
 		Limits:      attempt.DefaultLimits,
 	})
 	n.entry = entry.New(entry.Config{
-		Region:     s.Node.Region,
-		DataCentre: s.Node.DataCentre,
-		Snapshot:   n.config.Snapshot,
-		View:       n.syncer.View,
-		Resolver:   entry.NewControlResolver(n.client.HTTPClient()),
-		Limits:     s.Limit,
+		Region:       s.Node.Region,
+		DataCentre:   s.Node.DataCentre,
+		Snapshot:     n.config.Snapshot,
+		View:         n.syncer.View,
+		Resolver:     entry.NewControlResolver(n.client.HTTPClient()),
+		Limits:       s.Limit,
+		RetryMinimum: retry.DefaultMinimum,
 	})
 	n.publishMetrics(build)
 	return n, nil
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -83,6 +83,8 @@
 	MaxHeaderBytes int
 	// BodyStallTimeout ends a request whose body makes no progress.
 	BodyStallTimeout time.Duration
+	// RegionBytes bounds the traffic of this node to other regions, in bytes per second.
+	RegionBytes int
 	// AnswerBytes bounds one retained answer of work that is not idempotent.
 	AnswerBytes int
 }
