--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -91,6 +92,9 @@
 
 const firstPort, lastPort = 20_000, 32_000
 
+// Runs of the scenarios from several working copies at once start at different ports.
+func init() { nextPort.Store(rand.Int32N(lastPort - firstPort)) }
+
 // freeAddress returns a loopback address that no other process of the scenarios gets.
 func freeAddress(ts *testscript.TestScript) string {
 	for range lastPort - firstPort {
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -50,7 +50,10 @@
 			"load":    withFleet((*fleet).load),
 			"unload":  withFleet((*fleet).unload),
 			"judge":   withFleet((*fleet).judge),
-			"late":    withFleet((*fleet).late),
+			"tally":   withFleet((*fleet).tally),
+			"share":   withFleet((*fleet).share),
+			"ran":     withFleet((*fleet).ran),
+			"stat":    withFleet((*fleet).stat),
 		},
 	})
 }
--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -243,15 +243,64 @@
 	}
 }
 
-// late: late BACKEND N checks how much work arrived after the backend server announced that it leaves.
-func (f *fleet) late(ts *testscript.TestScript, args []string) {
+// stat: stat BACKEND NAME N checks a counter of a backend server.
+func (f *fleet) stat(ts *testscript.TestScript, args []string) {
 	res, err := http.Get("http://" + f.process(ts, args[0]).address["backend"] + "/stats")
 	check(ts, err)
 	defer res.Body.Close()
-	var stats backend.Stats
+	var stats map[string]int
 	check(ts, json.NewDecoder(res.Body).Decode(&stats))
-	if fmt.Sprint(stats.LateWork) != args[1] {
-		ts.Fatalf("%d pieces of work arrived late", stats.LateWork)
+	if fmt.Sprint(stats[args[1]]) != args[2] {
+		ts.Fatalf("%s of %s is %d, want %s", args[1], args[0], stats[args[1]], args[2])
+	}
+}
+
+// ran: ran WORK-ID N checks how often work has run.
+func (f *fleet) ran(ts *testscript.TestScript, args []string) {
+	if n := f.runs(ts)[args[0]]; fmt.Sprint(n) != args[1] {
+		ts.Fatalf("%s ran %d times, want %s", args[0], n, args[1])
+	}
+}
+
+// ended returns how many requests of a load have ended, and how many of them with the outcome.
+func (f *fleet) ended(load, outcome string) (all, matching int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, q := range f.requests {
+		select {
+		case <-q.done:
+		default:
+			continue
+		}
+		if !strings.HasPrefix(id, load+"-") {
+			continue
+		}
+		all++
+		if q.wants(outcome) {
+			matching++
+		}
+	}
+	return all, matching
+}
+
+// tally: tally LOAD OUTCOME N waits until N requests of a load have ended with the outcome.
+func (f *fleet) tally(ts *testscript.TestScript, args []string) {
+	want, err := strconv.Atoi(args[2])
+	check(ts, err)
+	waitFor(ts, strings.Join(args, " "), func() bool {
+		_, n := f.ended(args[0], args[1])
+		return n >= want
+	})
+}
+
+// share: share LOAD OUTCOME PERCENT checks that this share of a load's requests ended with the outcome.
+func (f *fleet) share(ts *testscript.TestScript, args []string) {
+	percent, err := strconv.Atoi(args[2])
+	check(ts, err)
+	all, n := f.ended(args[0], args[1])
+	ts.Logf("%s: %d of %d", args[0], n, all)
+	if n*100 < percent*all {
+		ts.Fatalf("%d of %d requests of %s ended with %s, want %d%%", n, all, args[0], args[1], percent)
 	}
 }
 
