Collect unused pages and show the version of each node

jackdawlane gc lists pages and heads, fences commits in progress by writing the head again, unchanged, and deletes what no kept version has on condition of the listed ETag.

jackdawlane status asks the nodes of the directory for their version, 64 at a time, with a call that leaves the directory out.

--- a/cli/change.go
+++ b/cli/change.go
@@ -183,6 +183,35 @@
 	}
 }
 
+// keptVersions is about a day of changes at the target size of 1,900 a day.
+const keptVersions = 2000
+
+func (a *app) gcCommand() *cobra.Command {
+	var kept uint64
+	var dryRun bool
+	c := &cobra.Command{
+		Use:   "gc",
+		Short: "Delete pages and heads that no kept version has",
+		Long:  "Delete pages and heads that no kept version has. It is safe while other operators make changes.",
+		Args:  exactArgs(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			store, err := a.storeClient()
+			if err != nil {
+				return err
+			}
+			done, err := config.NewCollector(store).Collect(c.Context(), kept, dryRun)
+			if err != nil {
+				return err
+			}
+			row := []string{fmt.Sprint(done.Oldest), fmt.Sprint(done.Version), fmt.Sprint(done.Objects), fmt.Sprint(done.Unused), fmt.Sprint(done.Deleted)}
+			return a.print(done, []string{"OLDEST KEPT", "IN FORCE", "OBJECTS", "UNUSED", "DELETED"}, [][]string{row})
+		},
+	}
+	c.Flags().Uint64Var(&kept, "keep", keptVersions, fmt.Sprintf("versions to keep, at least %d", config.MinKept))
+	c.Flags().BoolVar(&dryRun, "dry-run", false, "count what would be deleted, and delete nothing")
+	return c
+}
+
 func exactArgs(n int) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
 		return errors.Mark(cobra.ExactArgs(n)(c, args), ErrUsage)
--- a/cli/inspect.go
+++ b/cli/inspect.go
@@ -28,7 +28,7 @@
 func (a *app) statusCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "status [nodes|backends]",
-		Short: "Show nodes or backend servers as one node knows them",
+		Short: "Show nodes or backend servers as one node knows them, with the version that each node has in force",
 		Args:  cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			status, err := a.nodeStatus(c.Context())
@@ -38,22 +38,11 @@
 			if len(args) == 1 && args[0] == "backends" {
 				return a.printBackends(status)
 			}
-			return a.printNodes(status)
+			return a.printNodes(withVersions(c.Context(), status.GetDirectory()))
 		},
 	}
 }
 
-func (a *app) printNodes(status *pb.StatusResponse) error {
-	var rows [][]string
-	for _, n := range status.GetDirectory() {
-		rows = append(rows, []string{
-			n.GetNodeId(), n.GetRegion(), n.GetDataCentre(), stateName(n.GetState().String()),
-			fmt.Sprint(n.GetConfigVersion()), fmt.Sprint(len(n.GetBackendServers())), n.GetTrafficAddress(),
-		})
-	}
-	return a.print(status.GetDirectory(), []string{"NODE", "REGION", "DATA CENTRE", "STATE", "VERSION", "BACKEND SERVERS", "TRAFFIC"}, rows)
-}
-
 func (a *app) printBackends(status *pb.StatusResponse) error {
 	var rows [][]string
 	var all []*pb.BackendServer
--- a/cli/root.go
+++ b/cli/root.go
@@ -125,7 +125,7 @@
 	}
 	root.AddCommand(
 		a.routeCommand(), a.poolCommand(), a.organisationCommand(),
-		a.applyCommand(), a.diffCommand(), a.historyCommand(), a.revertCommand(),
+		a.applyCommand(), a.diffCommand(), a.historyCommand(), a.revertCommand(), a.gcCommand(),
 		a.explainCommand(), a.statusCommand(), a.checkCommand(), a.hashCommand(), a.versionCommand(build),
 	)
 	return root
--- /dev/null
+++ b/config/collector.go
@@ -0,0 +1,193 @@
+package config
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jackdawlane/jackdawlane/objectstore"
+)
+
+// MinKept is the smallest history that a collection keeps: the versions that a head names.
+const MinKept = recentChanges
+
+// CollectorStore is the part of the object store that a collection uses. *objectstore.Client implements it.
+type CollectorStore interface {
+	Store
+	List(ctx context.Context, prefix string) ([]objectstore.Entry, error)
+	Delete(ctx context.Context, key string, condition objectstore.Condition) error
+}
+
+// Collector deletes pages and heads that no kept version has.
+//
+// It is safe beside commits in progress, and without a clock. It lists the objects, then
+// writes the head in force again, unchanged, on condition that nobody else did meanwhile. A
+// commit that began before has its own conditional write of the head refused by the new ETag, and
+// begins again. A commit that begins after writes each page that the version in force lacks, which
+// gives the page a new ETag. So an object that has its listed ETag and is in no kept version is not
+// used by any commit that can still succeed, and it is deleted on condition of that ETag.
+type Collector struct {
+	store   CollectorStore
+	history *history
+}
+
+// NewCollector returns a collector over a store.
+func NewCollector(store CollectorStore) *Collector {
+	return &Collector{store: store, history: newHistory(store)}
+}
+
+// Collection says what a collection found and deleted.
+type Collection struct {
+	// Version is the version in force, Oldest the oldest one that is kept.
+	Version uint64 `json:"version"`
+	Oldest  uint64 `json:"oldest"`
+	// Objects is the number of pages and heads in the store, Unused the number that no kept version has.
+	Objects int `json:"objects"`
+	Unused  int `json:"unused"`
+	// Deleted is lower than Unused after a dry run and when commits use objects again.
+	Deleted int `json:"deleted"`
+}
+
+// Collect keeps the version in force and those before it, kept versions in all, and deletes the
+// pages and heads of no kept version. A dry run writes and deletes nothing. It returns ErrInvalidChange
+// when kept is below MinKept, ErrNoVersion when there is no configuration, ErrCorrupt and ErrUnavailable.
+func (c *Collector) Collect(ctx context.Context, kept uint64, dryRun bool) (Collection, error) {
+	if kept < MinKept {
+		return Collection{}, errors.Wrapf(ErrInvalidChange, "%d versions to keep, the least is %d", kept, MinKept)
+	}
+	return c.collect(ctx, kept, dryRun)
+}
+
+func (c *Collector) collect(ctx context.Context, kept uint64, dryRun bool) (Collection, error) {
+	objects, err := c.list(ctx)
+	if err != nil {
+		return Collection{}, err
+	}
+	head, err := c.fence(ctx, dryRun)
+	if err != nil {
+		return Collection{}, err
+	}
+	oldest, used, err := c.used(ctx, head, kept)
+	if err != nil {
+		return Collection{}, err
+	}
+	result := Collection{Version: head.Version, Oldest: oldest, Objects: len(objects)}
+	unused := slices.DeleteFunc(objects, func(o objectstore.Entry) bool { return used[o.Key] })
+	result.Unused = len(unused)
+	if !dryRun {
+		result.Deleted, err = c.delete(ctx, unused)
+	}
+	return result, err
+}
+
+func (c *Collector) list(ctx context.Context) ([]objectstore.Entry, error) {
+	var all []objectstore.Entry
+	for _, prefix := range []string{pagePrefix, headPrefix} {
+		entries, err := c.store.List(ctx, prefix)
+		if err != nil {
+			return nil, storeError(err, prefix)
+		}
+		all = append(all, entries...)
+	}
+	return all, nil
+}
+
+// fence writes the head in force again, so that no commit that began earlier can succeed.
+func (c *Collector) fence(ctx context.Context, dryRun bool) (storedHead, error) {
+	for {
+		o, err := get(ctx, c.store, HeadKey)
+		if err != nil {
+			return storedHead{}, err
+		}
+		head, err := DecodeHead(o.Value)
+		if err != nil || dryRun {
+			return storedHead{Head: head, hash: hashOf(o.Value)}, err
+		}
+		_, err = c.store.Put(ctx, HeadKey, o.Value, objectstore.Condition{IfMatch: o.ETag})
+		if err == nil {
+			return storedHead{Head: head, hash: hashOf(o.Value)}, nil
+		}
+		// Only an answered write shows that the ETag changed after the list.
+		repeat := errors.IsAny(err, objectstore.ErrConflict, objectstore.ErrUncertain, objectstore.ErrRateLimited)
+		if !repeat || !pause(ctx) {
+			return storedHead{}, storeError(err, HeadKey)
+		}
+	}
+}
+
+// used returns the keys of all objects of the kept versions, and the oldest of these versions.
+// The history ends early where an earlier collection cut it.
+func (c *Collector) used(ctx context.Context, head storedHead, kept uint64) (uint64, map[string]bool, error) {
+	used := make(map[string]bool)
+	seen := make(map[Hash]bool)
+	oldest := head.Version
+	err := c.addVersion(ctx, head, seen, used)
+	for ; err == nil && kept > 1 && head.Version > 1; kept-- {
+		head, err = c.history.readHead(ctx, head.Ancestors[0].Head)
+		if err == nil {
+			err = c.addVersion(ctx, head, seen, used)
+		}
+		if errors.Is(err, ErrNoVersion) {
+			return oldest, used, nil
+		}
+		oldest = head.Version
+	}
+	return oldest, used, err
+}
+
+func (c *Collector) addVersion(ctx context.Context, head storedHead, seen map[Hash]bool, used map[string]bool) error {
+	used[headCopyKey(head.hash)] = true
+	var fresh []PageRef
+	for _, table := range tables {
+		for _, ref := range head.Index[table] {
+			used[pageKey(ref.Hash)] = true
+			if !seen[ref.Hash] {
+				seen[ref.Hash] = true
+				fresh = append(fresh, ref)
+			}
+		}
+	}
+	refs, err := c.history.children(ctx, fresh)
+	for _, ref := range refs {
+		used[pageKey(ref.Hash)] = true
+	}
+	c.history.trim()
+	return err
+}
+
+// delete removes objects that were not written again since they were listed, and counts them.
+func (c *Collector) delete(ctx context.Context, objects []objectstore.Entry) (int, error) {
+	var deleted atomic.Int64
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelCalls)
+	for _, o := range objects {
+		group.Go(func() error {
+			done, err := c.deleteOne(ctx, o)
+			if done {
+				deleted.Add(1)
+			}
+			return err
+		})
+	}
+	err := group.Wait()
+	return int(deleted.Load()), err
+}
+
+func (c *Collector) deleteOne(ctx context.Context, o objectstore.Entry) (bool, error) {
+	for {
+		err := c.store.Delete(ctx, o.Key, objectstore.Condition{IfMatch: o.ETag})
+		if err == nil {
+			return true, nil
+		}
+		if errors.IsAny(err, objectstore.ErrConflict, objectstore.ErrNotFound) {
+			return false, nil
+		}
+		repeat := errors.IsAny(err, objectstore.ErrUncertain, objectstore.ErrRateLimited)
+		if !repeat || !pause(ctx) {
+			return false, storeError(err, o.Key)
+		}
+	}
+}
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -95,6 +96,32 @@
 	return f.objects[key].ETag, nil
 }
 
+func (f *fakeStore) List(_ context.Context, prefix string) ([]objectstore.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var entries []objectstore.Entry
+	for key, o := range f.objects {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, objectstore.Entry{Key: key, ETag: o.ETag})
+		}
+	}
+	return entries, nil
+}
+
+func (f *fakeStore) Delete(_ context.Context, key string, c objectstore.Condition) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o, exists := f.objects[key]
+	if !exists {
+		return objectstore.ErrNotFound
+	}
+	if c.IfMatch != "" && c.IfMatch != o.ETag {
+		return objectstore.ErrConflict
+	}
+	delete(f.objects, key)
+	return nil
+}
+
 func (f *fakeStore) Watch(ctx context.Context, key, _ string, _ time.Duration) (objectstore.Object, bool, error) {
 	o, err := f.Get(ctx, key)
 	return o, err == nil, err
--- a/config/head.go
+++ b/config/head.go
@@ -16,10 +16,16 @@
 // recentChanges is the number of change IDs that a head names, its own included.
 const recentChanges = 64
 
-func pageKey(h Hash) string { return "config/pages/" + string(h) }
+// Prefixes of the keys of pages and of the copies of heads.
+const (
+	pagePrefix = "config/pages/"
+	headPrefix = "config/heads/"
+)
+
+func pageKey(h Hash) string { return pagePrefix + string(h) }
 
 // headCopyKey is the key of the immutable copy of a head.
-func headCopyKey(h Hash) string { return "config/heads/" + string(h) }
+func headCopyKey(h Hash) string { return headPrefix + string(h) }
 
 // ChangeInfo says who made a version and why.
 type ChangeInfo struct {
--- a/control/server.go
+++ b/control/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
 	"github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1/jackdawlanev1connect"
@@ -99,11 +100,19 @@
 	return reply, nil
 }
 
-func (h *handler) Status(context.Context, *pb.StatusRequest) (*pb.StatusResponse, error) {
+func (h *handler) Status(_ context.Context, r *pb.StatusRequest) (*pb.StatusResponse, error) {
 	if h.Syncer == nil {
 		return nil, unimplemented("Status")
 	}
 	own, records := h.Syncer.Records()
+	if h.Config != nil {
+		// The record is not sent again when the version changes, so its version is older.
+		own = proto.CloneOf(own)
+		own.ConfigVersion, _ = h.Config.Head()
+	}
+	if r.GetNodeOnly() {
+		records = nil
+	}
 	return &pb.StatusResponse{Node: own, Directory: records, Build: h.Build}, nil
 }
 
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -91,6 +91,9 @@
 
 const firstPort, lastPort = 20_000, 32_000
 
+// Test processes that run at the same time start at different ports.
+func init() { nextPort.Store(int32(os.Getpid() * 331 % (lastPort - firstPort))) }
+
 // freeAddress returns a loopback address that no other process of the scenarios gets.
 func freeAddress(ts *testscript.TestScript) string {
 	for range lastPort - firstPort {
