Start from the highest version of all peers, and resume pages from other peers

A node that starts while the store is out waits until its directory is complete, asks all peers for their version and takes the highest head that it can complete. A head that does not decode, or whose pages nobody has, is given up and hides no lower one. Pages come from the next source when one fails, lags or damages them, also when the store fails between head and pages.

A relay reads the head itself after each watch of 3 s without news, because a watch may be stale.

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -10,34 +10,36 @@
 
 	"github.com/jackdawlane/jackdawlane/config"
 	"github.com/jackdawlane/jackdawlane/control"
-	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
 	"github.com/jackdawlane/jackdawlane/objectstore"
 )
 
 const (
-	// watchWait is the length of one watch on the head.
-	watchWait = 30 * time.Second
+	// watchWait is the length of one watch on the head. A stale watch delays a change by
+	// this time, within the 7 s in which it must be in force everywhere.
+	watchWait = 3 * time.Second
 	// configPoll is the time between two looks at the version that peers report.
 	configPoll = 200 * time.Millisecond
-	// storeRetry is the pause after a failed call to the store.
-	storeRetry = time.Second
-	// pagesPerCall bounds the answer of one GetConfig call to about 4 MB.
-	pagesPerCall = 128
+	// configRetry is the pause after a failed read of the configuration.
+	configRetry = time.Second
 )
 
-// errPeer marks a peer that did not give the configuration it reported.
-var errPeer = errors.New("configuration from peer")
-
 // configuration follows the configuration in force. Only the goroutine of run
 // touches the follower; what other goroutines read is published.
 type configuration struct {
 	loader    *config.Loader
 	timeout   time.Duration
 	syncer    *control.Syncer
-	client    *control.Client
+	peers     *configPeers
 	logger    *log.Logger
 	follower  *config.Follower
 	published atomic.Pointer[published]
+	// storeFailed says that the store did not answer this node's latest call.
+	storeFailed atomic.Bool
+	// pending is a head of the store whose pages could not be read yet.
+	pending []byte
+	retryAt time.Time
+	// knownPeers is the number of peers at the last look of a starting node.
+	knownPeers int
 }
 
 // published is what traffic and peers read.
@@ -47,15 +49,14 @@
 	pages    map[config.Hash][]byte
 }
 
-func newConfiguration(store *objectstore.Client, timeout time.Duration, s *control.Syncer, c *control.Client, logger *log.Logger) *configuration {
-	f := config.NewFollower()
+func newConfiguration(store *objectstore.Client, timeout time.Duration, s *control.Syncer, peers *configPeers, logger *log.Logger) *configuration {
 	cfg := &configuration{
 		loader:   config.NewLoader(store),
 		timeout:  timeout,
 		syncer:   s,
-		client:   c,
+		peers:    peers,
 		logger:   logger,
-		follower: f,
+		follower: config.NewFollower(),
 	}
 	cfg.publish()
 	return cfg
@@ -90,32 +91,39 @@
 		case head := <-heads:
 			c.take(ctx, head)
 		case <-ticker.C:
-			c.followPeers(ctx)
+			c.follow(ctx)
 		}
 	}
 }
 
 // watchStore sends each new head of the store. A node that is not a relay reads
-// the store only until it has a configuration.
+// the store only until it has a configuration. A watch may be stale, so after a watch without
+// news the head itself is read.
 func (c *configuration) watchStore(ctx context.Context, heads chan<- []byte) {
-	etag := ""
+	etag, sent := "", ""
 	for ctx.Err() == nil {
 		if c.Snapshot().Version() > 0 && !c.syncer.IsRelay() {
 			sleep(ctx, configPoll)
 			continue
 		}
 		head, newTag, err := c.readStore(ctx, etag)
+		c.storeFailed.Store(err != nil && !errors.Is(err, config.ErrNoVersion))
 		if err != nil {
-			if !errors.Is(err, config.ErrNoVersion) {
+			if c.storeFailed.Load() {
 				c.logger.Warn("object store not reached; serving on with the version in force", "err", err)
 			}
-			sleep(ctx, storeRetry)
+			sleep(ctx, configRetry)
 			continue
 		}
 		etag = newTag
 		if head == nil {
+			etag = ""
+			continue
+		}
+		if newTag == sent {
 			continue
 		}
+		sent = newTag
 		select {
 		case heads <- head:
 		case <-ctx.Done():
@@ -141,70 +149,90 @@
 	}
 }
 
-// take offers a head of the store and reads the pages it needs.
+// take puts a head of the store in force. A head whose pages cannot be read is tried again.
 func (c *configuration) take(ctx context.Context, head []byte) {
-	if _, err := c.follower.OfferHead(head); err != nil {
-		c.logger.Error("head of the configuration refused", "err", err)
-		return
+	c.pending = nil
+	if err := c.try(ctx, head, append([]pageSource{c.storePages}, c.peers.sources(c.peers.some())...)); err != nil {
+		c.logger.Warn("configuration of the object store not taken", "err", err)
+		c.pending = head
+		c.retryAt = time.Now().Add(configRetry)
 	}
-	if err := c.loader.Complete(ctx, c.follower); err != nil {
-		c.logger.Warn("pages of the configuration not read", "err", err)
-	}
-	c.publish()
 }
 
-// followPeers fetches a higher version that a peer reported.
-func (c *configuration) followPeers(ctx context.Context) {
+func (c *configuration) storePages(ctx context.Context, hashes []config.Hash) (map[config.Hash][]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.loader.Pages(ctx, hashes)
+}
+
+// follow takes a higher version that a peer reported, and one of the store that was not completed.
+func (c *configuration) follow(ctx context.Context) {
+	if time.Now().Before(c.retryAt) {
+		return
+	}
+	if c.pending != nil {
+		c.take(ctx, c.pending)
+	}
+	if c.Snapshot().Version() == 0 {
+		c.startFromPeers(ctx)
+		return
+	}
 	newest := c.syncer.Newest()
 	if newest.Version <= c.Snapshot().Version() {
 		return
 	}
-	if err := c.fetch(ctx, newest.Address); err != nil {
-		c.logger.Warn("configuration not fetched", "peer", newest.Address, "err", err)
+	if c.takeHighest(ctx, []string{newest.Address}) {
 		return
 	}
-	c.publish()
+	if !c.takeHighest(ctx, append(c.peers.some(), newest.Address)) {
+		c.retryAt = time.Now().Add(configRetry)
+	}
 }
 
-func (c *configuration) fetch(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	peer := c.client.Node(address)
-	reply, err := peer.GetConfig(ctx, &pb.GetConfigRequest{})
-	if err != nil {
-		return errors.Mark(err, errPeer)
-	}
-	if _, err := c.follower.OfferHead(reply.GetHead()); err != nil {
-		return errors.Mark(err, errPeer)
+// startFromPeers takes the highest version among all peers that can be reached, when the
+// store cannot. It waits until the directory is complete: a node that takes the version of the
+// first peer that answers would serve an older version than others did before it.
+func (c *configuration) startFromPeers(ctx context.Context) {
+	if !c.storeFailed.Load() {
+		return
 	}
-	for lacking := c.follower.Lacking(); len(lacking) > 0; lacking = c.follower.Lacking() {
-		if err := c.fetchPages(ctx, peer, lacking[:min(len(lacking), pagesPerCall)]); err != nil {
-			return err
-		}
+	c.retryAt = time.Now().Add(configRetry)
+	all := c.peers.all()
+	if len(all) == 0 || len(all) != c.knownPeers {
+		c.knownPeers = len(all)
+		return
 	}
-	return nil
+	c.takeHighest(ctx, c.peers.newest(ctx, all))
 }
 
-type configPeer interface {
-	GetConfig(context.Context, *pb.GetConfigRequest) (*pb.GetConfigResponse, error)
+// takeHighest offers the heads of peers, the highest first, until one is complete.
+// A head that does not decode or whose pages no peer has does not hide a lower one.
+func (c *configuration) takeHighest(ctx context.Context, addresses []string) bool {
+	for _, head := range c.peers.heads(ctx, addresses) {
+		if head.version <= c.Snapshot().Version() {
+			return false
+		}
+		sources := c.peers.sources(append([]string{head.address}, addresses...))
+		err := c.try(ctx, head.data, sources)
+		if err == nil {
+			return true
+		}
+		c.logger.Warn("configuration of a peer not taken", "peer", head.address, "version", head.version, "err", err)
+	}
+	return false
 }
 
-func (c *configuration) fetchPages(ctx context.Context, peer configPeer, hashes []config.Hash) error {
-	request := &pb.GetConfigRequest{}
-	for _, h := range hashes {
-		request.PageHashes = append(request.PageHashes, string(h))
-	}
-	reply, err := peer.GetConfig(ctx, request)
-	if err != nil {
-		return errors.Mark(err, errPeer)
-	}
-	if len(reply.GetPages()) == 0 {
-		return errors.Wrap(errPeer, "the peer no longer holds the pages of its head")
+// try puts a head in force with pages from the sources, or gives it up.
+func (c *configuration) try(ctx context.Context, head []byte, sources []pageSource) error {
+	if _, err := c.follower.OfferHead(head); err != nil {
+		return err
 	}
-	for hash, data := range reply.GetPages() {
-		if err := c.follower.OfferPage(config.Hash(hash), data); err != nil {
-			return errors.Mark(err, errPeer)
-		}
+	wanted := c.follower.Target()
+	err := fill(ctx, c.follower, sources)
+	c.publish()
+	if c.Snapshot().Version() < wanted {
+		c.follower.Abandon()
+		return errors.Wrapf(err, "version %d is not complete", wanted)
 	}
 	return nil
 }
--- /dev/null
+++ b/node/configuration_test.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/config"
+	"github.com/jackdawlane/jackdawlane/control"
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+	"github.com/jackdawlane/jackdawlane/objectstore"
+	"github.com/jackdawlane/jackdawlane/organisation"
+	"github.com/jackdawlane/jackdawlane/pool"
+	standin "github.com/jackdawlane/jackdawlane/standin/objectstore"
+)
+
+// fakePeer is a node that passes a configuration on.
+type fakePeer struct {
+	version uint64
+	head    []byte
+	pages   map[config.Hash][]byte
+}
+
+func (p *fakePeer) Head() (uint64, []byte) { return p.version, p.head }
+
+func (p *fakePeer) Page(hash string) ([]byte, bool) {
+	data, ok := p.pages[config.Hash(hash)]
+	return data, ok
+}
+
+// versions returns a store and a peer for each of n versions, the first with number 0.
+func versions(t *testing.T, n int) (*standin.Server, *objectstore.Client, []*fakePeer) {
+	t.Helper()
+	store := standin.New(0)
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	client := objectstore.New(netip.MustParseAddrPort(server.Listener.Addr().String()))
+	t.Cleanup(client.Close)
+	peers := []*fakePeer{{}}
+	for i := range n {
+		var change config.Change
+		change.ID, change.Operator = fmt.Sprint("c", i), "ann"
+		for j := range 200 {
+			p := pool.Pool{Name: fmt.Sprint("p", j), Service: "s", Floor: i + j, AnnounceSecretSHA256: organisation.HashSecret("x")}
+			change.Upsert.Pools = append(change.Upsert.Pools, p)
+		}
+		_, err := config.NewEditor(client, time.Now).Commit(t.Context(), change)
+		assert.NilError(t, err)
+		f := config.NewFollower()
+		_, err = config.NewLoader(client).Load(t.Context(), f)
+		assert.NilError(t, err)
+		peers = append(peers, &fakePeer{uint64(i + 1), f.Head(), f.Pages()})
+	}
+	return store, client, peers
+}
+
+// newNode returns the configuration of a starting node that knows the peers.
+func newNode(t *testing.T, store *objectstore.Client, peers ...*fakePeer) (*configuration, []string) {
+	t.Helper()
+	client := control.NewClient()
+	t.Cleanup(client.Close)
+	own := &pb.NodeRecord{NodeId: "own", Incarnation: 1, Sequence: 1}
+	var records []*pb.NodeRecord
+	var addresses []string
+	for _, p := range peers {
+		syncer := control.NewSyncer(own, nil, client)
+		server := httptest.NewUnstartedServer(nil)
+		server.Config = control.NewServer(control.NewHandler(control.Services{Syncer: syncer, Config: p}))
+		server.Start()
+		t.Cleanup(server.Close)
+		addresses = append(addresses, server.Listener.Addr().String())
+		records = append(records, &pb.NodeRecord{ControlAddress: addresses[len(addresses)-1]})
+	}
+	known := &configPeers{own: "own", timeout: time.Second, client: client, records: func() []*pb.NodeRecord { return records }}
+	logger := log.New(io.Discard)
+	return newConfiguration(store, time.Second, control.NewSyncer(own, nil, client), known, logger), addresses
+}
+
+// A node that starts while the store is out must not serve the version of the first peer that
+// answers, when another has a higher one; nor be stopped by peers with bad heads.
+func TestStartTakesHighestOfAllPeers(t *testing.T) {
+	store, client, v := versions(t, 5)
+	store.SetFaults(standin.Faults{Down: true})
+	undecodable := &fakePeer{version: 9, head: []byte("{")}
+	withoutPages := &fakePeer{version: 5, head: v[5].head}
+	c, _ := newNode(t, client, v[0], v[2], undecodable, v[3], withoutPages, v[5], v[4])
+	c.startFromPeers(t.Context())
+	assert.Equal(t, c.Snapshot().Version(), uint64(0), "started from peers although the store has not failed")
+	c.storeFailed.Store(true)
+	c.startFromPeers(t.Context())
+	assert.Equal(t, c.Snapshot().Version(), uint64(0), "started before the directory was complete")
+	c.startFromPeers(t.Context())
+	assert.Equal(t, c.Snapshot().Version(), uint64(5))
+	version, head := c.Head()
+	assert.Equal(t, version, uint64(5))
+	assert.Equal(t, string(head), string(v[5].head))
+}
+
+// A head that decodes but whose pages nobody has must not hide the lower version that can be had,
+// and the node must take later versions.
+func TestIncompleteHeadDoesNotBlock(t *testing.T) {
+	_, client, v := versions(t, 5)
+	c, addresses := newNode(t, client, &fakePeer{version: 5, head: v[5].head}, v[2], v[3])
+	assert.Assert(t, c.takeHighest(t.Context(), addresses))
+	assert.Equal(t, c.Snapshot().Version(), uint64(3))
+	assert.Assert(t, !c.takeHighest(t.Context(), addresses))
+	c.take(t.Context(), v[4].head)
+	assert.Equal(t, c.Snapshot().Version(), uint64(4))
+	c.take(t.Context(), v[2].head)
+	assert.Equal(t, c.Snapshot().Version(), uint64(4), "went back")
+}
+
+// Pages that one peer lacks or has damaged must come from another, without the ones that are held.
+func TestPagesResumeFromAnotherPeer(t *testing.T) {
+	_, client, v := versions(t, 1)
+	lagging := &fakePeer{1, v[1].head, make(map[config.Hash][]byte)}
+	damaged := &fakePeer{1, v[1].head, make(map[config.Hash][]byte)}
+	for hash, data := range v[1].pages {
+		damaged.pages[hash] = append([]byte(" "), data...)
+		if len(lagging.pages) < len(v[1].pages)/2 {
+			lagging.pages[hash] = data
+		}
+	}
+	c, addresses := newNode(t, client, lagging, damaged, v[1])
+	assert.Assert(t, c.takeHighest(t.Context(), addresses))
+	assert.Equal(t, c.Snapshot().Version(), uint64(1))
+}
+
+// A store that fails between its head and its pages must not hold a relay back: the pages
+// come from peers, or the head is tried again.
+func TestStoreFailsAfterHead(t *testing.T) {
+	store, client, v := versions(t, 2)
+	store.SetFaults(standin.Faults{Down: true})
+	c, _ := newNode(t, client, v[2])
+	c.take(t.Context(), v[2].head)
+	assert.Equal(t, c.Snapshot().Version(), uint64(2))
+
+	alone, _ := newNode(t, client)
+	alone.take(t.Context(), v[2].head)
+	assert.Equal(t, alone.Snapshot().Version(), uint64(0))
+	store.SetFaults(standin.Faults{})
+	alone.retryAt = time.Time{}
+	alone.follow(context.Background())
+	assert.Equal(t, alone.Snapshot().Version(), uint64(2))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -60,7 +60,14 @@
 	incarnation := uint64(time.Now().UnixNano())
 	n.syncer = control.NewSyncer(ownRecord(s, incarnation), addresses(s.Peers), n.client)
 	store := objectstore.New(s.Store.Address)
-	n.config = newConfiguration(store, s.Store.Timeout, n.syncer, n.client, logger)
+	peers := &configPeers{
+		own:     s.Node.ControlAdvertise.String(),
+		seeds:   addresses(s.Peers),
+		timeout: s.Store.Timeout,
+		client:  n.client,
+		records: func() []*pb.NodeRecord { _, all := n.syncer.Records(); return all },
+	}
+	n.config = newConfiguration(store, s.Store.Timeout, n.syncer, peers, logger)
 	n.guard = guard.New(guard.Config{
 		Self:        ownGuard(s, incarnation),
 		MayAnnounce: n.mayAnnounce,
