--- a/cli/inspect.go
+++ b/cli/inspect.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/jackdawlane/jackdawlane/config"
 	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
 	"github.com/jackdawlane/jackdawlane/organisation"
+	"github.com/jackdawlane/jackdawlane/route"
 	"github.com/jackdawlane/jackdawlane/settings"
 )
 
@@ -28,7 +28,7 @@
 func (a *app) statusCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "status [nodes|backends]",
-		Short: "Show nodes or backend servers as one node knows them",
+		Short: "Show nodes or backend servers as one node knows them, with the version that each node has in force",
 		Args:  cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			status, err := a.nodeStatus(c.Context())
@@ -38,22 +38,11 @@
 			if len(args) == 1 && args[0] == "backends" {
 				return a.printBackends(status)
 			}
-			return a.printNodes(status)
+			return a.printNodes(withVersions(c.Context(), status.GetDirectory()))
 		},
 	}
 }
 
-func (a *app) printNodes(status *pb.StatusResponse) error {
-	var rows [][]string
-	for _, n := range status.GetDirectory() {
-		rows = append(rows, []string{
-			n.GetNodeId(), n.GetRegion(), n.GetDataCentre(), stateName(n.GetState().String()),
-			fmt.Sprint(n.GetConfigVersion()), fmt.Sprint(len(n.GetBackendServers())), n.GetTrafficAddress(),
-		})
-	}
-	return a.print(status.GetDirectory(), []string{"NODE", "REGION", "DATA CENTRE", "STATE", "VERSION", "BACKEND SERVERS", "TRAFFIC"}, rows)
-}
-
 func (a *app) printBackends(status *pb.StatusResponse) error {
 	var rows [][]string
 	var all []*pb.BackendServer
@@ -97,15 +86,11 @@
 		Short: "Show which route, pool and backend servers a request would get, and why",
 		Args:  exactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			s, _, err := a.snapshot(c.Context())
-			if err != nil {
-				return err
-			}
 			status, err := a.nodeStatus(c.Context())
 			if err != nil {
 				return err
 			}
-			return a.explain(s, status, name, host, method, args[0])
+			return a.explain(c.Context(), status, name, host, method, args[0])
 		},
 	}
 	c.Flags().StringVar(&name, "organisation", "", "organisation that sends the request")
@@ -114,12 +99,23 @@
 	return c
 }
 
-func (a *app) explain(s *config.Snapshot, status *pb.StatusResponse, name, host, method, path string) error {
-	r, ok := s.Match(name, host, method, path)
+func (a *app) explain(ctx context.Context, status *pb.StatusResponse, name, host, method, path string) error {
+	s, err := a.view(ctx)
+	if err != nil {
+		return err
+	}
+	routes, err := s.RoutesOf(ctx, name)
+	if err != nil {
+		return err
+	}
+	r, ok := route.NewMatcher(routes).Match(name, host, method, path)
 	if !ok {
 		return errors.Wrapf(ErrNotFound, "version %d has no route of organisation %q for %s %s%s", s.Version(), name, method, host, path)
 	}
-	p, ok := s.Pool(r.Pool)
+	p, ok, err := s.Pool(ctx, r.Pool)
+	if err != nil {
+		return err
+	}
 	if !ok {
 		return errors.Wrapf(ErrNotFound, "route %s names pool %s, which does not exist", r.Key(), r.Pool)
 	}
