Judge and eject backend servers in the running node

Package observe owns the judge, the aggregators and the permits of a node. Guards steer suspected and ejected backend servers and admit re-tests; entries offer a share of idempotent requests for them. Guards report every 4 s, and each second for services under evidence; the aggregator returns the work since the reporter's previous report, so no work counts twice at mixed intervals. An ejection of a service without idempotent work ends with its hold time.

The scenarios start at a random port, because two runs on one machine took each other's ports (seen: a node never reached version 1).

--- a/control/client.go
+++ b/control/client.go
@@ -59,5 +59,10 @@
 	return c.Node(address).Sync(ctx, r)
 }
 
+// ReportService sends one report of a service.
+func (c *Client) ReportService(ctx context.Context, address string, r *pb.ReportServiceRequest) (*pb.ReportServiceResponse, error) {
+	return c.Node(address).ReportService(ctx, r)
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
--- a/ejection/coordinator.go
+++ b/ejection/coordinator.go
@@ -38,6 +38,7 @@
 	store   Store
 	clock   Clock
 	newID   func() string
+	times   Times
 	// observer is used by the update methods only.
 	observer Observer
 
@@ -63,9 +64,9 @@
 // NewCoordinator returns a coordinator. Holder must be unique to this process (node
 // ID and incarnation): permits in its name that it does not use are removed at once.
 // NewID returns a fresh unique permit ID.
-func NewCoordinator(service, holder string, store Store, clock Clock, newID func() string) *Coordinator {
+func NewCoordinator(service, holder string, store Store, clock Clock, newID func() string, times Times) *Coordinator {
 	return &Coordinator{
-		service: service, holder: holder, store: store, clock: clock, newID: newID,
+		service: service, holder: holder, store: store, clock: clock, newID: newID, times: times,
 		held: make(map[string]*holding),
 	}
 }
@@ -78,13 +79,13 @@
 	if err != nil {
 		return err
 	}
-	q := Permit{ID: c.newID(), BackendID: backendID, Holder: c.holder, Lifetime: PermitLifetime}
+	q := Permit{ID: c.newID(), BackendID: backendID, Holder: c.holder, Lifetime: c.times.PermitLifetime}
 	next, err := p.Grant(q, ready, floor)
 	if err != nil {
 		return err
 	}
 	start := c.clock()
-	h := &holding{permit: q, attempted: start, recovery: NewRecovery(start, next.Ejections[backendID])}
+	h := &holding{permit: q, attempted: start, recovery: NewRecovery(start, c.times.HoldTime(next.Ejections[backendID]))}
 	c.hold(backendID, h)
 	return c.write(ctx, next, version, []*holding{h})
 }
@@ -143,16 +144,27 @@
 	return MayEnforce(ready, c.known.Ejected(), floor)
 }
 
-// Observe counts an answer of an ejected backend server and reports whether the ejection may end.
-func (c *Coordinator) Observe(backendID string, good bool) bool {
+// Observe counts an answer of a backend server for its recovery, if a permit for it is held.
+func (c *Coordinator) Observe(backendID string, good bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := c.held[backendID]
-	if h == nil {
-		return false
+	if h := c.held[backendID]; h != nil {
+		h.recovery.Observe(good)
 	}
-	h.recovery.Observe(good)
-	return h.recovery.Done(c.clock())
+}
+
+// Recovered returns the backend servers whose ejection may end, sorted.
+func (c *Coordinator) Recovered() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []string
+	for id, h := range c.held {
+		if h.confirmed && h.recovery.Done(c.clock()) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
 }
 
 // Holds returns the backend servers for which a permit is held or was asked for, sorted.
@@ -263,7 +275,7 @@
 	return ids
 }
 
-// due returns the held permits in the set whose last renewal is RenewAfter ago,
+// due returns the held permits in the set whose last renewal is due,
 // in stored order, and marks the attempt to renew them.
 func (c *Coordinator) due(now time.Duration, p Permits) []*holding {
 	c.mu.Lock()
@@ -271,7 +283,7 @@
 	var due []*holding
 	for _, q := range p.Permits {
 		h := c.held[q.BackendID]
-		if h == nil || h.permit.ID != q.ID || (h.confirmed && now-h.renewed < RenewAfter) {
+		if h == nil || h.permit.ID != q.ID || (h.confirmed && now-h.renewed < c.times.renewAfter()) {
 			continue
 		}
 		h.attempted = now
--- a/ejection/coordinator_test.go
+++ b/ejection/coordinator_test.go
@@ -68,7 +68,7 @@
 func newFixture() *fixture { return &fixture{store: &fakeStore{}, newID: counter()} }
 
 func (f *fixture) coordinator(holder string) *Coordinator {
-	return NewCoordinator("slot", holder, f.store, func() time.Duration { return f.now }, f.newID)
+	return NewCoordinator("slot", holder, f.store, func() time.Duration { return f.now }, f.newID, DefaultTimes)
 }
 
 var (
@@ -198,7 +198,7 @@
 		for range goodAnswers {
 			c.Observe("a", true)
 		}
-		for !c.Observe("a", true) {
+		for len(c.Recovered()) == 0 {
 			f.now += time.Second
 		}
 		assert.NilError(t, c.Release(bg, "a"))
@@ -207,12 +207,12 @@
 	assert.Equal(t, hold(), minHold)
 	assert.Equal(t, hold(), 2*minHold)
 	assert.Equal(t, hold(), 4*minHold)
-	assert.Equal(t, HoldTime(1000), maxHold)
+	assert.Equal(t, DefaultTimes.HoldTime(1000), maxHold)
 }
 
 // Guards against ending an ejection while answers are still bad.
 func TestRecoveryNeedsGoodAnswersInARow(t *testing.T) {
-	r := NewRecovery(0, 1)
+	r := NewRecovery(0, minHold)
 	for range goodAnswers - 1 {
 		r.Observe(true)
 	}
@@ -221,6 +221,13 @@
 	assert.Assert(t, !r.Done(minHold))
 }
 
+// Guards against an ejection without end where no work may be used for a re-test.
+func TestRecoveryWithoutAnswersEndsWithHold(t *testing.T) {
+	r := NewRecovery(0, minHold)
+	assert.Assert(t, !r.Done(minHold-1))
+	assert.Assert(t, r.Done(minHold))
+}
+
 // Guards against accepting a damaged object, and against a change of the stored form.
 func TestPermitsJSON(t *testing.T) {
 	p, err := Permits{Service: "slot"}.Grant(Permit{ID: "p", BackendID: "a", Holder: "n", Lifetime: time.Second}, ready, 2)
@@ -395,7 +402,7 @@
 		rate := rapid.Float64Range(0.97, 1.03).Draw(t, "clock rate")
 		origin := time.Duration(rapid.IntRange(0, 1000).Draw(t, "clock origin")) * time.Second
 		clock := func() time.Duration { return origin + time.Duration(float64(w.now)*rate) }
-		w.holders = append(w.holders, NewCoordinator("slot", fmt.Sprintf("n%d", i), w.store, clock, newID))
+		w.holders = append(w.holders, NewCoordinator("slot", fmt.Sprintf("n%d", i), w.store, clock, newID, DefaultTimes))
 	}
 	w.store.get, w.store.put = w.get, w.put
 	return w
@@ -408,8 +415,8 @@
 	clock := func(rate float64) Clock {
 		return func() time.Duration { return time.Duration(float64(f.now) * rate) }
 	}
-	holder := NewCoordinator("slot", "slow", f.store, clock(0.97), f.newID)
-	observer := NewCoordinator("slot", "fast", f.store, clock(1.03), f.newID)
+	holder := NewCoordinator("slot", "slow", f.store, clock(0.97), f.newID, DefaultTimes)
+	observer := NewCoordinator("slot", "fast", f.store, clock(1.03), f.newID, DefaultTimes)
 	assert.NilError(t, holder.Eject(bg, "a", ready, 3))
 	granted := false
 	for f.now < 2*PermitLifetime {
--- a/ejection/lifetime.go
+++ b/ejection/lifetime.go
@@ -16,6 +16,22 @@
 	maxHold = 30 * time.Minute
 )
 
+// Times are the adjustable times of permits and ejections.
+type Times struct {
+	// PermitLifetime is the time from the start of a write to the lapse of its permit.
+	PermitLifetime time.Duration
+	// Hold is the shortest duration of a first ejection.
+	Hold time.Duration
+}
+
+// DefaultTimes are the times that the design states.
+var DefaultTimes = Times{PermitLifetime: PermitLifetime, Hold: minHold}
+
+// renewAfter keeps the default's relation of renewal and lifetime.
+func (t Times) renewAfter() time.Duration {
+	return t.PermitLifetime / (PermitLifetime / RenewAfter)
+}
+
 // LapseWait returns how long an observer must see a permit unchanged before it removes it.
 func LapseWait(lifetime time.Duration) time.Duration {
 	return lifetime + lifetime/clockRateMargin
@@ -23,8 +39,8 @@
 
 // HoldTime returns the shortest duration of a backend server's n-th ejection. It
 // doubles each time, so that a flapping backend server is tried ever more rarely.
-func HoldTime(n int) time.Duration {
-	hold := minHold
+func (t Times) HoldTime(n int) time.Duration {
+	hold := t.Hold
 	for ; n > 1 && hold < maxHold; n-- {
 		hold *= 2
 	}
--- a/ejection/recovery.go
+++ b/ejection/recovery.go
@@ -8,17 +8,19 @@
 
 // Recovery follows an ejected backend server on its trickle of idempotent work.
 type Recovery struct {
-	until time.Duration
-	good  int
+	until    time.Duration
+	good     int
+	answered bool
 }
 
-// NewRecovery starts the n-th ejection of a backend server.
-func NewRecovery(now time.Duration, n int) Recovery {
-	return Recovery{until: now + HoldTime(n)}
+// NewRecovery starts an ejection that lasts at least as long as hold.
+func NewRecovery(now, hold time.Duration) Recovery {
+	return Recovery{until: now + hold}
 }
 
 // Observe counts an answer; one that failed or was slow starts the count again.
 func (r *Recovery) Observe(good bool) {
+	r.answered = true
 	if !good {
 		r.good = 0
 		return
@@ -26,7 +28,8 @@
 	r.good++
 }
 
-// Done reports whether the ejection may end.
+// Done reports whether the ejection may end. A service whose work must not repeat
+// has no trickle; its ejections end with the hold time, which doubles each time.
 func (r *Recovery) Done(now time.Duration) bool {
-	return now >= r.until && r.good >= goodAnswers
+	return now >= r.until && (r.good >= goodAnswers || !r.answered)
 }
--- a/entry/http_test.go
+++ b/entry/http_test.go
@@ -235,6 +235,9 @@
 func (o *observer) Observe(guard.Dispatch)    {}
 func (o *observer) State(string) guard.Health { return o.state.Load().(guard.Health) }
 
+func (o *observer) Announced(id string) guard.Health { return o.State(id) }
+func (o *observer) AdmitRetest(string, bool) bool    { return false }
+
 // Guards against a request that is refused because all backend servers are
 // suspect, and against a body that is lost when the first guard refuses.
 func TestSuspectedBackends(t *testing.T) {
--- a/entry/task.go
+++ b/entry/task.go
@@ -47,7 +47,7 @@
 			}
 			left = candidates
 		}
-		b := t.entry.config.Picker.Pick(left)
+		b := t.choose(n, left)
 		left = slices.DeleteFunc(slices.Clone(left), func(o membership.Backend) bool { return o.ID == b.ID })
 		last = t.attempt(w, r, b, final && n > 1 && allSuspect)
 		if last == nil || !t.mayRetry(r.Context(), last) {
@@ -56,7 +56,7 @@
 		if last.guardDown {
 			left = slices.DeleteFunc(left, func(o membership.Backend) bool { return o.Guard.HopAddress == b.Guard.HopAddress })
 		}
-		allSuspect = allSuspect && last.reason == hop.ReasonSuspect
+		allSuspect = allSuspect && steered(last.reason)
 	}
 	if last != nil {
 		last.write(w)
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -107,7 +107,9 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	g.config.Observer.Observe(Dispatch{BackendID: j.BackendID, Route: j.Route, Result: r, Latency: time.Since(start)})
+	g.config.Observer.Observe(Dispatch{
+		BackendID: j.BackendID, Service: j.service, Route: j.Route, Result: r, Latency: time.Since(start),
+	})
 }
 
 func resultOf(status int) Result {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -58,7 +58,7 @@
 func (g *Guard) Backends(now time.Time) []membership.Backend {
 	bs := g.registry.backends(now)
 	for i := range bs {
-		state := g.config.Observer.State(bs[i].ID)
+		state := g.config.Observer.Announced(bs[i].ID)
 		bs[i].Suspect = state == Suspect
 		bs[i].Ejected = state == Ejected
 	}
@@ -140,7 +140,7 @@
 
 // admit returns the backend server when the work may be dispatched to it now.
 func (g *Guard) admit(ctx context.Context, j job) (server, func(), hop.Reason) {
-	s, reason := g.available(j)
+	s, reason := g.available(&j)
 	if reason != "" {
 		return s, nil, reason
 	}
@@ -148,8 +148,8 @@
 	if reason != "" {
 		return s, nil, reason
 	}
-	// It may have left while the work was queued.
-	s, reason = g.available(j)
+	// It may have left or become suspect while the work was queued.
+	s, reason = g.available(&j)
 	if reason != "" {
 		release()
 		return s, nil, reason
@@ -157,7 +157,7 @@
 	return s, release, ""
 }
 
-func (g *Guard) available(j job) (server, hop.Reason) {
+func (g *Guard) available(j *job) (server, hop.Reason) {
 	if g.stopping.Load() {
 		return server{}, hop.ReasonStopping
 	}
@@ -168,15 +168,24 @@
 	if s.backend.State == membership.StateLeaving {
 		return s, hop.ReasonLeaving
 	}
-	switch g.config.Observer.State(j.BackendID) {
-	case Ejected:
-		return s, hop.ReasonEjected
-	case Suspect:
-		if !j.force {
-			return s, hop.ReasonSuspect
-		}
+	return s, g.steer(j)
+}
+
+// steer refuses work of a suspected or ejected backend server, except re-tests.
+// Force overrides suspicion only, because an ejection has a permit and keeps the floor.
+func (g *Guard) steer(j *job) hop.Reason {
+	state := g.config.Observer.State(j.BackendID)
+	if state == Healthy || j.retest || (state == Suspect && j.force) {
+		return ""
+	}
+	if g.config.Observer.AdmitRetest(j.BackendID, j.Idempotent) {
+		j.retest = true
+		return ""
+	}
+	if state == Ejected {
+		return hop.ReasonEjected
 	}
-	return s, ""
+	return hop.ReasonSuspect
 }
 
 func (g *Guard) refuseArrival(w http.ResponseWriter, j job, v attempt.Verdict) {
--- a/guard/plug.go
+++ b/guard/plug.go
@@ -52,6 +52,7 @@
 // Dispatch is a finished dispatch. Cancelled ones are not reported.
 type Dispatch struct {
 	BackendID string
+	Service   string
 	Route     string
 	Result    Result
 	Latency   time.Duration
@@ -59,8 +60,15 @@
 
 // Observer judges backend servers by their work.
 type Observer interface {
+	// Observe takes a finished dispatch. It must not block.
 	Observe(d Dispatch)
+	// State returns the judgement in force now.
 	State(backendID string) Health
+	// Announced returns the judgement for the directory, which changes rarely.
+	Announced(backendID string) Health
+	// AdmitRetest reports whether work goes to a suspected or ejected backend
+	// server to re-test it. It counts the work that it admits.
+	AdmitRetest(backendID string, idempotent bool) bool
 }
 
 // noObserver regards every backend server as healthy.
@@ -68,3 +76,7 @@
 
 func (noObserver) Observe(Dispatch)    {}
 func (noObserver) State(string) Health { return Healthy }
+
+func (noObserver) Announced(string) Health { return Healthy }
+
+func (noObserver) AdmitRetest(string, bool) bool { return false }
--- a/guard/work.go
+++ b/guard/work.go
@@ -24,6 +24,8 @@
 	service string
 	sent    time.Time
 	force   bool
+	// retest is set when the work was admitted to a suspected or ejected backend server.
+	retest bool
 }
 
 func parseJob(h http.Header, now time.Time) (job, error) {
--- a/health/aggregator.go
+++ b/health/aggregator.go
@@ -2,57 +2,89 @@
 
 import "time"
 
-// reportLifetime is how long the last report of a guard counts. Reports come
-// each second, so this tolerates one that is late.
-const reportLifetime = 2 * time.Second
+const (
+	// ReportInterval is the longest time between two reports of a guard on a service.
+	ReportInterval = 4 * time.Second
+	// ReportEvidence in nats is the steering evidence from which a guard reports
+	// each second. One failure stays below it, so background errors cost few calls.
+	ReportEvidence = 3.0
+	// reportLifetime is how long a reporter counts as heard. It tolerates one lost report.
+	reportLifetime = 2*ReportInterval + 2*time.Second
+)
 
-// Aggregator pools the counters that the guards of one service report.
+// Aggregator pools the counters that the guards of one service report. Each
+// guard receives the work of the others since its own previous report, so that
+// guards may report at different intervals and no work counts twice.
 type Aggregator struct {
 	reporters map[string]*reporter
+	pooled    map[string]RouteCounters
 }
 
 type reporter struct {
 	incarnation uint64
 	at          time.Duration
 	totals      map[string]RouteCounters
-	recent      map[string]RouteCounters
+	// seen is the pool at its latest report.
+	seen map[string]RouteCounters
 }
 
 // NewAggregator returns an aggregator without reports.
 func NewAggregator() *Aggregator {
-	return &Aggregator{reporters: make(map[string]*reporter)}
+	return &Aggregator{reporters: make(map[string]*reporter), pooled: make(map[string]RouteCounters)}
 }
 
-// Report takes the cumulative counters of a guard and returns the pooled work
-// of all other guards in their latest reporting interval. The first report of an
+// Report takes the cumulative counters of a guard and returns the work that all
+// other guards reported since its previous report. The first report of an
 // incarnation only sets the origin, since its work may be old.
 func (a *Aggregator) Report(now time.Duration, nodeID string, incarnation uint64, backends []BackendCounters) []RouteCounters {
+	a.expire(now)
 	totals := sumRoutes(backends)
-	recent := make(map[string]RouteCounters)
-	if r := a.reporters[nodeID]; r != nil && r.incarnation == incarnation {
-		for route, c := range totals {
-			recent[route] = c.since(r.totals[route])
+	r := a.reporters[nodeID]
+	if r == nil || r.incarnation != incarnation {
+		a.reporters[nodeID] = &reporter{
+			incarnation: incarnation, at: now, totals: totals, seen: cloneRoutes(a.pooled),
 		}
+		return []RouteCounters{}
 	}
-	a.reporters[nodeID] = &reporter{incarnation: incarnation, at: now, totals: totals, recent: recent}
-	return a.pool(now, nodeID)
+	work := make(map[string]RouteCounters)
+	for route, c := range totals {
+		d := c.since(r.totals[route])
+		addRoute(a.pooled, route, d)
+		addRoute(work, route, d)
+	}
+	others := a.others(r, work)
+	r.at, r.totals, r.seen = now, totals, cloneRoutes(a.pooled)
+	return others
+}
+
+// Heard returns how many guards other than one have reported lately.
+func (a *Aggregator) Heard(now time.Duration, except string) int {
+	a.expire(now)
+	n := len(a.reporters)
+	if a.reporters[except] != nil {
+		n--
+	}
+	return n
 }
 
-func (a *Aggregator) pool(now time.Duration, except string) []RouteCounters {
-	pooled := make(map[string]RouteCounters)
+// others returns what the pool gained since the reporter's previous report, without its own work.
+func (a *Aggregator) others(r *reporter, work map[string]RouteCounters) []RouteCounters {
+	gained := make(map[string]RouteCounters)
+	for route, c := range a.pooled {
+		d := c.since(r.seen[route]).since(work[route])
+		if d.Requests > 0 {
+			gained[route] = d
+		}
+	}
+	return sortedRoutes(gained)
+}
+
+func (a *Aggregator) expire(now time.Duration) {
 	for id, r := range a.reporters {
 		if now-r.at > reportLifetime {
 			delete(a.reporters, id)
-			continue
-		}
-		if id == except {
-			continue
-		}
-		for route, c := range r.recent {
-			addRoute(pooled, route, c)
 		}
 	}
-	return sortedRoutes(pooled)
 }
 
 func sumRoutes(backends []BackendCounters) map[string]RouteCounters {
@@ -66,8 +98,16 @@
 }
 
 func addRoute(m map[string]RouteCounters, route string, c RouteCounters) {
-	sum := m[route]
+	sum := m[route].clone()
 	sum.Route = route
 	sum.add(c)
 	m[route] = sum
 }
+
+func cloneRoutes(m map[string]RouteCounters) map[string]RouteCounters {
+	c := make(map[string]RouteCounters, len(m))
+	for route, counters := range m {
+		c[route] = counters.clone()
+	}
+	return c
+}
--- a/health/driver_test.go
+++ b/health/driver_test.go
@@ -21,6 +21,8 @@
 	// faultGrace after a fault covers answers of work that began before its end.
 	faultGrace = 5 * time.Second
 	wheelSize  = 1 << 16
+	// exchangePhase spreads the guards' turns over the second, as between real nodes.
+	exchangePhase = time.Second / guardCount / time.Millisecond * time.Millisecond
 )
 
 type routeModel struct {
@@ -143,8 +145,8 @@
 		for s := range serviceCount {
 			r.arrive(s)
 		}
-		if r.now%time.Second < guardCount*time.Millisecond {
-			r.exchange(int(r.now % time.Second / time.Millisecond))
+		if phase := r.now % time.Second; phase%exchangePhase == 0 && phase < guardCount*exchangePhase {
+			r.exchange(int(phase / exchangePhase))
 		}
 	}
 }
@@ -295,7 +297,7 @@
 	}
 	r.permits[s] = next
 	b.ejected = true
-	b.recovery = ejection.NewRecovery(r.now, next.Ejections[backendName(i)])
+	b.recovery = ejection.NewRecovery(r.now, ejection.DefaultTimes.HoldTime(next.Ejections[backendName(i)]))
 	if !r.bad(b) {
 		r.result.healthyEjected++
 		return
--- a/health/judge.go
+++ b/health/judge.go
@@ -133,6 +133,21 @@
 	}
 }
 
+// NeedsBaseline reports whether a backend server of a service is under evidence
+// that calls for the baseline of each second.
+func (j *Judge) NeedsBaseline(serviceName string) bool {
+	s := j.services[serviceName]
+	if s == nil {
+		return false
+	}
+	for _, b := range s.backends {
+		if b.live.highest() >= ReportEvidence || b.settled.highest() >= ReportEvidence {
+			return true
+		}
+	}
+	return false
+}
+
 // Verdict returns the state of a backend server; the zero value when it is unknown.
 func (j *Judge) Verdict(now time.Duration, backendID string) Verdict {
 	b := j.backends[backendID]
--- a/health/policy_test.go
+++ b/health/policy_test.go
@@ -10,6 +10,7 @@
 type judgePolicy struct {
 	judges      [guardCount]*health.Judge
 	aggregators [serviceCount]*health.Aggregator
+	reported    [guardCount][serviceCount]time.Duration
 }
 
 func newJudgePolicy() policy {
@@ -32,9 +33,11 @@
 	for s, a := range p.aggregators {
 		name := serviceName(s)
 		counters := j.Counters(name)
-		if len(counters) == 0 || !sent {
+		due := now-p.reported[guard][s] >= health.ReportInterval || j.NeedsBaseline(name)
+		if len(counters) == 0 || !sent || !due {
 			continue
 		}
+		p.reported[guard][s] = now
 		baseline := a.Report(now, backendName(guard), 1, counters)
 		if received {
 			j.MergeBaseline(now, name, baseline)
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/jackdawlane/jackdawlane/guard"
 	"github.com/jackdawlane/jackdawlane/membership"
 	"github.com/jackdawlane/jackdawlane/objectstore"
+	"github.com/jackdawlane/jackdawlane/observe"
 	"github.com/jackdawlane/jackdawlane/settings"
 	"github.com/jackdawlane/jackdawlane/telemetry"
 )
@@ -38,6 +39,7 @@
 	client   *control.Client
 	syncer   *control.Syncer
 	config   *configuration
+	observer *observe.Observer
 	guard    *guard.Guard
 	entry    *entry.Entry
 	stopping atomic.Bool
@@ -61,9 +63,11 @@
 	n.syncer = control.NewSyncer(ownRecord(s, incarnation), addresses(s.Peers), n.client)
 	store := objectstore.New(s.Store.Address)
 	n.config = newConfiguration(store, s.Store.Timeout, n.syncer, n.client, logger)
+	n.observer = n.newObserver(store, incarnation)
 	n.guard = guard.New(guard.Config{
 		Self:        ownGuard(s, incarnation),
 		MayAnnounce: n.mayAnnounce,
+		Observer:    n.observer,
 		Limits:      attempt.DefaultLimits,
 	})
 	n.entry = entry.New(entry.Config{
@@ -105,6 +109,7 @@
 	defer stopControl()
 	go func() { failed <- n.syncer.Run(controlCtx) }()
 	go n.config.run(controlCtx)
+	go n.observer.Run(controlCtx)
 	go n.updateRecord(controlCtx)
 	n.logger.Info("serving", "traffic", n.settings.Node.TrafficAddress)
 	select {
--- /dev/null
+++ b/observe/clock.go
@@ -0,0 +1,19 @@
+package observe
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock returns the time since the system started, including time in which the
+// VM was suspended. Go's own monotonic clock stops then, so a holder would use
+// its permits for longer than others expect.
+func Clock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Linux has had this clock since 2.6.39; without it no permit can be held safely.
+		panic(err)
+	}
+	return time.Duration(t.Nano())
+}
--- /dev/null
+++ b/observe/states.go
@@ -0,0 +1,71 @@
+package observe
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/guard"
+	"github.com/jackdawlane/jackdawlane/health"
+)
+
+// state is the published judgement on one backend server that is not healthy.
+type state struct {
+	suspect bool
+	// held is the service whose permit for the backend server this node holds, or nil.
+	held      *service
+	announced guard.Health
+	retests   *retests
+}
+
+// states is immutable and holds every backend server that is not healthy.
+type states map[string]state
+
+// State implements guard.Observer. An ejection is checked here against the
+// clock, so that a process that was paused does not use a permit that has lapsed.
+func (o *Observer) State(backendID string) guard.Health {
+	s, ok := (*o.states.Load())[backendID]
+	switch {
+	case ok && s.held != nil && o.enforced(s.held, backendID):
+		return guard.Ejected
+	case ok && s.suspect:
+		return guard.Suspect
+	}
+	return guard.Healthy
+}
+
+// Announced implements guard.Observer.
+func (o *Observer) Announced(backendID string) guard.Health {
+	s, ok := (*o.states.Load())[backendID]
+	if !ok || s.announced == guard.Ejected && o.State(backendID) != guard.Ejected {
+		return guard.Healthy
+	}
+	return s.announced
+}
+
+// AdmitRetest implements guard.Observer.
+func (o *Observer) AdmitRetest(backendID string, idempotent bool) bool {
+	s, ok := (*o.states.Load())[backendID]
+	return ok && s.retests.admit(o.config.Clock(), idempotent)
+}
+
+// retests limits the re-tests of one backend server.
+type retests struct {
+	mu   sync.Mutex
+	last time.Duration
+	rng  *rand.Rand
+}
+
+func newRetests(now time.Duration) *retests {
+	return &retests{last: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+}
+
+func (r *retests) admit(now time.Duration, idempotent bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !health.AdmitRetest(now-r.last, idempotent, r.rng) {
+		return false
+	}
+	r.last = now
+	return true
+}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -55,6 +56,9 @@
 	order     []string
 	requests  map[string]*request
 	loads     map[string]*loader
+	watchers  []*watcher
+	// served counts the requests of the command serves.
+	served int
 }
 
 func newFleet(env *testscript.Env) *fleet {
@@ -91,6 +95,9 @@
 
 const firstPort, lastPort = 20_000, 32_000
 
+// Runs of the scenarios at the same time on one machine start at different ports.
+func init() { nextPort.Store(rand.Int32N(lastPort - firstPort)) }
+
 // freeAddress returns a loopback address that no other process of the scenarios gets.
 func freeAddress(ts *testscript.TestScript) string {
 	for range lastPort - firstPort {
@@ -150,6 +157,10 @@
 	for _, l := range f.loads {
 		l.stop()
 	}
+	for _, w := range f.watchers {
+		close(w.end)
+		w.wait.Wait()
+	}
 	for _, p := range f.processes {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -51,6 +51,12 @@
 			"unload":  withFleet((*fleet).unload),
 			"judge":   withFleet((*fleet).judge),
 			"late":    withFleet((*fleet).late),
+
+			"judged":     withFleet((*fleet).judged),
+			"counted":    withFleet((*fleet).counted),
+			"floor":      withFleet((*fleet).watchFloor),
+			"floor-kept": withFleet((*fleet).floorKept),
+			"serves":     withFleet((*fleet).serves),
 		},
 	})
 }
--- a/settings/field.go
+++ b/settings/field.go
@@ -67,6 +67,8 @@
 		intField("limits", "max_header_bytes", &s.Limit.MaxHeaderBytes, "65536", 1024, 1<<20),
 		durationField("limits", "body_stall_timeout", &s.Limit.BodyStallTimeout, "10s", 100*time.Millisecond, time.Hour),
 		intField("limits", "answer_bytes", &s.Limit.AnswerBytes, "1048576", 1024, 16<<20),
+		durationField("ejection", "hold_time", &s.Ejection.HoldTime, "30s", time.Second, 30*time.Minute),
+		durationField("ejection", "permit_lifetime", &s.Ejection.PermitLifetime, "15s", 3*time.Second, 5*time.Minute),
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,12 +16,13 @@
 
 // Settings of a node. Addresses are IP numbers with ports.
 type Settings struct {
-	Node  Node
-	Store Store
-	Peers Peers
-	Log   Log
-	Trace Trace
-	Limit Limits
+	Node     Node
+	Store    Store
+	Peers    Peers
+	Log      Log
+	Trace    Trace
+	Limit    Limits
+	Ejection Ejection
 }
 
 // Node identifies a node and its place, and holds the addresses it listens on.
@@ -87,6 +88,15 @@
 	AnswerBytes int
 }
 
+// Ejection sets the times of ejections and their permits.
+type Ejection struct {
+	// HoldTime is the shortest duration of a first ejection; each further one of
+	// the same backend server is held twice as long.
+	HoldTime time.Duration
+	// PermitLifetime bounds an ejection whose permit cannot be renewed.
+	PermitLifetime time.Duration
+}
+
 // Load reads and checks a settings file.
 // It returns ErrInvalid with one line that names file, section, key and what is allowed.
 func Load(path string) (Settings, error) {
@@ -136,6 +146,10 @@
 	if s.Trace.Exporter == "otlp" && !s.Trace.Endpoint.IsValid() {
 		return errors.Wrapf(ErrInvalid, "%s: [trace] endpoint is empty; want an IP number and port when exporter is otlp", path)
 	}
+	if s.Ejection.PermitLifetime < 2*s.Store.Timeout {
+		return errors.Wrapf(ErrInvalid, "%s: [ejection] permit_lifetime = %s is below twice [store] timeout = %s; a renewal could not be repeated",
+			path, s.Ejection.PermitLifetime, s.Store.Timeout)
+	}
 	return nil
 }
 
