--- a/entry/task.go
+++ b/entry/task.go
@@ -46,7 +46,7 @@
 	attempt := balance.Attempt{Tried: make(map[string]hop.Reason), Bytes: t.size + t.body.length(r)}
 	allSuspect := true
 	for n := 1; n <= maxAttempts; n++ {
-		choice, ok := t.entry.balancer.pick(t.pool.Service, candidates, attempt)
+		choice, ok := t.choose(n, candidates, attempt)
 		if !ok {
 			break
 		}
@@ -61,7 +61,7 @@
 			break
 		}
 		attempt.Tried[choice.Backend.ID] = refused.reason
-		allSuspect = allSuspect && refused.reason == hop.ReasonSuspect
+		allSuspect = allSuspect && steered(refused.reason)
 	}
 	if refused != nil {
 		refused.write(w)
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -116,7 +116,9 @@
 		return
 	}
 	s.queue.done(j.id, latency, admissionResults[r])
-	g.config.Observer.Observe(Dispatch{BackendID: j.backendID, Route: j.route, Result: r, Latency: latency})
+	g.config.Observer.Observe(Dispatch{
+		BackendID: j.backendID, Service: j.service, Route: j.route, Result: r, Latency: latency,
+	})
 }
 
 func resultOf(status int) Result {
--- a/guard/work.go
+++ b/guard/work.go
@@ -29,6 +29,8 @@
 	// reading is that of the guard's clock which the attempt carries.
 	reading  hop.GuardTime
 	deadline time.Time
+	// retest is set when the work was admitted to a suspected or ejected backend server.
+	retest bool
 }
 
 func parseJob(h http.Header, now time.Time) (job, error) {
