Replace the star of each data centre by a tree, and build views incrementally

Nodes sync with a parent of the next higher level (levels of 2, 16, 128, ... nodes by relay order, at most 10 children), not all with the first relay. A child sends up what it learnt from below, and reads the rest by position. A new parent compares digests with its child, so that only the buckets of records that differ are sent. A silent node is marked gone only after a witness does not hear it either, because it may have moved to another parent.

Views and the sorted list of records are built from the last ones.

--- a/control/syncer.go
+++ b/control/syncer.go
@@ -142,7 +142,11 @@
 // HandleSync answers the Sync of another node. It returns ErrStopped when Run has ended.
 func (s *Syncer) HandleSync(ctx context.Context, r *pb.SyncRequest) (*pb.SyncResponse, error) {
 	replies := make(chan *pb.SyncResponse, 1)
-	event := func(now time.Duration) { replies <- s.directory.HandleSync(now, r) }
+	event := func(now time.Duration) {
+		// A version taken since the last round must not wait for the next one on each level.
+		s.directory.SetConfigVersion(s.held.Load())
+		replies <- s.directory.HandleSync(now, r)
+	}
 	select {
 	case s.events <- event:
 		return <-replies, nil
--- a/membership/contact.go
+++ b/membership/contact.go
@@ -7,11 +7,11 @@
 	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
 )
 
-// updateLost notes, on a relay, the data centres of which no node answered
+// updateLost notes, on the first relay, the data centres of which no node answered
 // for goneAfter. Their records stay as they are, so that no node has to send
 // its record again when contact returns.
 func (d *Directory) updateLost(now time.Duration) {
-	if d.relaySince < 0 {
+	if d.firstSince < 0 {
 		return
 	}
 	last := make(map[string]time.Duration)
@@ -20,7 +20,7 @@
 			continue
 		}
 		dc := e.record.GetDataCentre()
-		last[dc] = max(last[dc], e.heard, d.relaySince)
+		last[dc] = max(last[dc], e.heard, d.firstSince)
 	}
 	d.lost = nil
 	for dc, heard := range last {
@@ -31,37 +31,8 @@
 	slices.Sort(d.lost)
 }
 
-// View returns the backend servers that may get new work: those of serving
-// nodes in data centres within contact.
-func (d *Directory) View() *View {
-	var backends []Backend
-	for _, e := range d.entries {
-		if !serving(e.record) || slices.Contains(d.lost, e.record.GetDataCentre()) {
-			continue
-		}
-		backends = appendBackends(backends, e.record)
-	}
-	return NewView(backends)
-}
-
 func serving(r *pb.NodeRecord) bool { return r.GetState() == pb.NodeState_NODE_STATE_SERVING }
 
-// Records returns the records of all known nodes in the order of their IDs.
-// The caller must not change them.
-func (d *Directory) Records() []*pb.NodeRecord {
-	records := make([]*pb.NodeRecord, 0, len(d.entries))
-	for _, e := range d.entries {
-		records = append(records, e.record)
-	}
-	slices.SortFunc(records, func(a, b *pb.NodeRecord) int {
-		if a.GetNodeId() < b.GetNodeId() {
-			return -1
-		}
-		return 1
-	})
-	return records
-}
-
 // Lost returns the data centres that are out of contact.
 func (d *Directory) Lost() []string { return d.lost }
 
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -42,16 +42,18 @@
 	// firstSince and relaySince say when this node became first relay or relay, -1 when it is not.
 	firstSince, relaySince time.Duration
 	lastReply, lastSeed    time.Duration
-	nextSeed               int
+	lastTick               time.Duration
+	lastCompare            time.Duration
+	nextSeed, nextCompare  int
 	refreshAt              time.Duration
 	configVersion          uint64
-	// otherRelay is the first relay of the own data centre other than this node.
-	otherRelay string
-	superseded bool
-	changes    uint64
-	// ranking is the relay order as of the change rankedAt.
-	ranking  map[string][]*entry
-	rankedAt uint64
+	superseded             bool
+	changes                uint64
+	byAddress              map[string]*entry
+	// upstream holds the addresses of the parents that this node syncs with.
+	upstream []string
+	tree     tree
+	viewer   viewer
 }
 
 // NewDirectory returns a directory with the own record. Seeds are control
@@ -63,6 +65,8 @@
 		seeds:      slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == own.GetControlAddress() }),
 		entries:    make(map[string]*entry),
 		peers:      make(map[string]*peer),
+		byAddress:  make(map[string]*entry),
+		viewer:     newViewer(),
 		firstSince: -1,
 		relaySince: -1,
 		lastReply:  now - goneAfter,
@@ -104,23 +108,32 @@
 	d.own.Sequence = sequence
 	d.own.ConfigVersion = d.configVersion
 	d.refreshAt = now + refreshInterval
-	d.store(now, d.own)
+	d.store(now, d.own, "")
 }
 
-// merge takes a received record if it is newer than the one held.
-func (d *Directory) merge(now time.Duration, r *pb.NodeRecord) {
+// merge takes a record received from a node if it is newer than the one held.
+// It returns the one held if that is newer. A gone record of an unknown node is
+// passed over: to keep it would send it round the fleet again after it was forgotten.
+func (d *Directory) merge(now time.Duration, r *pb.NodeRecord, from string) *pb.NodeRecord {
 	if r.GetNodeId() == "" {
-		return
+		return nil
 	}
 	if r.GetNodeId() == d.own.GetNodeId() {
 		d.mergeOwn(now, r)
-		return
+		return nil
 	}
 	e := d.entries[r.GetNodeId()]
-	if e != nil && Compare(r, e.record) <= 0 {
-		return
+	if e == nil && isGone(r) {
+		return nil
+	}
+	if e == nil || Compare(r, e.record) > 0 {
+		d.store(now, r, from)
+		return nil
 	}
-	d.store(now, r)
+	if Compare(r, e.record) < 0 {
+		return e.record
+	}
+	return nil
 }
 
 // mergeOwn answers a record of this node that is newer than the own one.
@@ -135,17 +148,21 @@
 	d.publishOwn(now, r.GetSequence()+1)
 }
 
-func (d *Directory) store(now time.Duration, r *pb.NodeRecord) {
+func (d *Directory) store(now time.Duration, r *pb.NodeRecord, from string) {
 	e := d.entries[r.GetNodeId()]
 	if e == nil {
 		never := now - goneAfter
-		e = &entry{hash: relayHash(r.GetNodeId()), heard: never, direct: never, detached: never}
+		e = &entry{hash: relayHash(r.GetNodeId()), heard: never, direct: never, denied: never, watchedSince: -1}
 		d.entries[r.GetNodeId()] = e
+		d.tree.stale = true
 	}
+	d.tree.stale = d.tree.stale || e.record.GetState() != r.GetState() || e.record.GetDataCentre() != r.GetDataCentre()
 	d.changes++
+	d.viewer.change(r.GetNodeId())
 	e.record = r
-	e.marked = false
+	e.from = from
 	e.learnt = now
+	d.byAddress[r.GetControlAddress()] = e
 	e.position = d.log.add(r.GetNodeId())
 	d.log.compact(d.entries)
 }
@@ -155,17 +172,27 @@
 	if now >= d.refreshAt {
 		d.publishOwn(now, d.own.GetSequence()+1)
 	}
+	d.updateTree()
 	d.updateRole(now)
 	d.updateLost(now)
-	d.markGone(now)
+	d.watch(now)
 	for id, e := range d.entries {
 		if forgettable(now, e) && !d.isSelf(e) {
-			delete(d.entries, id)
-			d.changes++
+			d.forget(id, e)
 		}
 	}
 }
 
+func (d *Directory) forget(id string, e *entry) {
+	delete(d.entries, id)
+	if d.byAddress[e.record.GetControlAddress()] == e {
+		delete(d.byAddress, e.record.GetControlAddress())
+	}
+	d.changes++
+	d.viewer.change(id)
+	d.tree.stale = true
+}
+
 func forgettable(now time.Duration, e *entry) bool {
 	age := now - e.learnt
 	return age > staleAfter || !e.live() && age > goneRetention
@@ -177,12 +204,6 @@
 	at := slices.IndexFunc(relays, d.isSelf)
 	d.firstSince = since(now, d.firstSince, at == 0)
 	d.relaySince = since(now, d.relaySince, at >= 0)
-	d.otherRelay = ""
-	for _, e := range slices.Backward(d.relaysOf(now, d.own.GetDataCentre(), false)) {
-		if !d.isSelf(e) {
-			d.otherRelay = e.record.GetNodeId()
-		}
-	}
 }
 
 func since(now, start time.Duration, holds bool) time.Duration {
@@ -195,62 +216,6 @@
 	return now
 }
 
-// markGone marks the silent nodes that this relay watches: the first relay
-// watches its data centre, the second relay watches the first.
-func (d *Directory) markGone(now time.Duration) {
-	if d.relaySince < 0 {
-		return
-	}
-	limit := d.silenceLimit(now)
-	for _, e := range d.watched(now) {
-		last := max(e.heard, e.learnt, d.watchStart())
-		if now-last > limit {
-			d.store(now, goneRecord(e.record))
-			e.marked = true
-		}
-	}
-}
-
-func (d *Directory) watchStart() time.Duration {
-	if d.firstSince >= 0 {
-		return d.firstSince
-	}
-	return d.relaySince
-}
-
-func (d *Directory) watched(now time.Duration) []*entry {
-	if d.firstSince < 0 {
-		return slices.DeleteFunc(d.ownRelays(now), d.isSelf)
-	}
-	var es []*entry
-	for _, e := range d.entries {
-		if e.live() && !d.isSelf(e) && d.local(e) {
-			es = append(es, e)
-		}
-	}
-	return es
-}
-
 func (d *Directory) local(e *entry) bool {
 	return e.record.GetDataCentre() == d.own.GetDataCentre()
 }
-
-// silenceLimit returns goneAfter if this node hears at least half of its data
-// centre. It counts a shorter time than goneAfter, because nodes fall silent one
-// after another when this node is cut off.
-func (d *Directory) silenceLimit(now time.Duration) time.Duration {
-	live, heard := 0, 0
-	for _, e := range d.entries {
-		if !e.live() || !d.local(e) {
-			continue
-		}
-		live++
-		if d.isSelf(e) || now-e.heard <= evidenceAge {
-			heard++
-		}
-	}
-	if 2*heard >= live {
-		return goneAfter
-	}
-	return isolatedGoneAfter
-}
--- a/membership/directory_test.go
+++ b/membership/directory_test.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,21 +20,58 @@
 // and against a record that an older one replaces.
 func TestDirectoriesConvergeAfterFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSimulation(rapid.Uint64().Draw(t, "seed"),
-			rapid.IntRange(1, 3).Draw(t, "data centres"), rapid.IntRange(2, 5).Draw(t, "nodes"))
-		for range rapid.IntRange(1, 12).Draw(t, "faults") {
-			drawFault(t, s)
-			for range rapid.IntRange(1, 25).Draw(t, "seconds") {
-				s.step()
-				assert.Equal(t, s.steppedBack(), "")
-			}
+		checkConvergence(t, newSimulation(rapid.Uint64().Draw(t, "seed"),
+			rapid.IntRange(1, 3).Draw(t, "data centres"), rapid.IntRange(2, 5).Draw(t, "nodes")))
+	})
+}
+
+// Guards against the same in data centres whose tree has two levels below the relays.
+func TestTreesConvergeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		checkConvergence(t, newSimulation(rapid.Uint64().Draw(t, "seed"),
+			rapid.IntRange(1, 2).Draw(t, "data centres"), rapid.IntRange(19, 24).Draw(t, "nodes")))
+	})
+}
+
+func checkConvergence(t *rapid.T, s *simulation) {
+	for range rapid.IntRange(1, 12).Draw(t, "faults") {
+		drawFault(t, s)
+		for range rapid.IntRange(1, 25).Draw(t, "seconds") {
+			s.step()
+			assert.Equal(t, s.steppedBack(), "")
+			assert.Equal(t, s.viewDifference(), "")
 		}
-		s.heal()
-		if s.converge(healTime) < 0 {
-			t.Fatalf("not converged: %s", s.difference())
+	}
+	s.heal()
+	if s.converge(healTime) < 0 {
+		t.Fatalf("not converged: %s", s.difference())
+	}
+	assert.Equal(t, s.steppedBack(), "")
+}
+
+// viewDifference compares the view and the records of a node, built from the
+// last ones, with those built from all that it knows.
+func (s *simulation) viewDifference() string {
+	n := s.nodes[int(s.now/SyncInterval)%len(s.nodes)]
+	d := n.directory
+	var backends []Backend
+	var ids []string
+	for id, e := range d.entries {
+		ids = append(ids, id)
+		if serving(e.record) && !slices.Contains(d.lost, e.record.GetDataCentre()) {
+			backends = appendBackends(backends, e.record)
 		}
-		assert.Equal(t, s.steppedBack(), "")
-	})
+	}
+	slices.Sort(ids)
+	for i, r := range d.Records() {
+		if i >= len(ids) || r != d.entries[ids[i]].record {
+			return n.id + ": records differ"
+		}
+	}
+	if len(d.Records()) != len(ids) || !reflect.DeepEqual(d.View(), NewView(backends)) {
+		return n.id + ": view differs"
+	}
+	return ""
 }
 
 func drawFault(t *rapid.T, s *simulation) {
@@ -213,10 +252,10 @@
 	s := joined(t, 1, 3)
 	d := s.nodes[0].directory
 	for i := range 10000 {
-		d.merge(s.now, &pb.NodeRecord{NodeId: "x", Incarnation: 1, Sequence: uint64(i), State: pb.NodeState_NODE_STATE_SERVING})
+		d.merge(s.now, &pb.NodeRecord{NodeId: "x", Incarnation: 1, Sequence: uint64(i), State: pb.NodeState_NODE_STATE_SERVING}, "")
 	}
 	assert.Assert(t, len(d.log.items) <= 2*len(d.entries)+compactionSlack)
-	d.merge(s.now, goneRecord(d.entries["x"].record))
+	d.merge(s.now, goneRecord(d.entries["x"].record), "")
 	d.Tick(s.now + goneRetention)
 	assert.Assert(t, d.entries["x"] != nil)
 	d.Tick(s.now + goneRetention + time.Second)
@@ -230,7 +269,7 @@
 	const count = 2000
 	for i := range count {
 		id := s.nodes[0].id + "-" + time.Duration(i).String()
-		d.merge(s.now, &pb.NodeRecord{NodeId: id, DataCentre: "other", BackendServers: simBackends(id, 10)})
+		d.merge(s.now, &pb.NodeRecord{NodeId: id, DataCentre: "other", BackendServers: simBackends(id, 10)}, "")
 	}
 	s.step()
 	s.step()
--- a/membership/log.go
+++ b/membership/log.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -48,22 +49,16 @@
 	return e != nil && e.position == i.position
 }
 
-// since returns the records changed after position, except those of the node
-// skip, the position read up to, and whether more remain.
-func (l *changeLog) since(position uint64, skip string, entries map[string]*entry) ([]*pb.NodeRecord, uint64, bool) {
+// since returns the records changed after position that keep accepts, the
+// position read up to, and whether more remain.
+func (l *changeLog) since(position uint64, entries map[string]*entry, keep func(*entry) bool) ([]*pb.NodeRecord, uint64, bool) {
 	start, _ := slices.BinarySearchFunc(l.items, position+1, func(i logItem, p uint64) int {
-		if i.position < p {
-			return -1
-		}
-		if i.position > p {
-			return 1
-		}
-		return 0
+		return cmp.Compare(i.position, p)
 	})
 	var records []*pb.NodeRecord
 	size := 0
 	for _, item := range l.items[start:] {
-		if !item.current(entries) || item.nodeID == skip {
+		if !item.current(entries) || !keep(entries[item.nodeID]) {
 			continue
 		}
 		r := entries[item.nodeID].record
--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -247,7 +247,7 @@
 		data, _ := proto.Marshal(record)
 		received := new(pb.NodeRecord)
 		_ = proto.Unmarshal(data, received)
-		d.merge(0, received)
+		d.merge(0, received, "")
 	}
 	view := d.View()
 	used := heapInUse() - before
--- a/membership/record.go
+++ b/membership/record.go
@@ -46,18 +46,22 @@
 	record *pb.NodeRecord
 	// position is the place of the record in the log.
 	position uint64
-	// marked says that this node made the gone record.
-	marked bool
+	// from is the ID of the node that sent the record, empty for those made here.
+	from string
 	// hash is the node's weight in relay selection.
 	hash uint64
 	// learnt is when the record replaced an older one.
 	learnt time.Duration
 	// heard is the last evidence of life, direct is the last at first hand.
 	heard, direct time.Duration
-	// detached is when the node last reported that it cannot reach the other relay.
-	detached time.Duration
-	// configVersion is the version in force that the node last reported to this one.
-	configVersion uint64
+	// denied is when a witness last answered that it does not hear the node.
+	denied time.Duration
+	// watchedSince is when this node began to watch the other, -1 while it does not.
+	watchedSince time.Duration
+	// rank is the place in the relay order of the data centre, and parent the node
+	// to sync with, as of the tree.
+	rank   int
+	parent *entry
 }
 
 func (e *entry) live() bool { return !isGone(e.record) }
--- a/membership/relay.go
+++ b/membership/relay.go
@@ -21,31 +21,11 @@
 	)
 }
 
-// ranked returns the serving nodes of each data centre in relay order. The order
-// is kept until a record changes, because each round asks for it several times.
-func (d *Directory) ranked() map[string][]*entry {
-	if d.ranking != nil && d.rankedAt == d.changes {
-		return d.ranking
-	}
-	d.rankedAt = d.changes
-	d.ranking = make(map[string][]*entry)
-	for _, e := range d.entries {
-		if serving(e.record) {
-			dc := e.record.GetDataCentre()
-			d.ranking[dc] = append(d.ranking[dc], e)
-		}
-	}
-	for _, es := range d.ranking {
-		slices.SortFunc(es, relayOrder)
-	}
-	return d.ranking
-}
-
 // relays returns the first two nodes of each data centre that are serving.
 // Nodes that this one cannot reach are passed over when reachable is true.
 func (d *Directory) relays(now time.Duration, reachable bool) map[string][]*entry {
 	selected := make(map[string][]*entry)
-	for dc := range d.ranked() {
+	for dc := range d.tree.ranked {
 		selected[dc] = d.relaysOf(now, dc, reachable)
 	}
 	return selected
@@ -53,7 +33,7 @@
 
 func (d *Directory) relaysOf(now time.Duration, dc string, reachable bool) []*entry {
 	var es []*entry
-	for _, e := range d.ranked()[dc] {
+	for _, e := range d.tree.ranked[dc] {
 		if len(es) == relaysPerDataCentre {
 			break
 		}
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -8,17 +8,14 @@
 )
 
 const (
-	// secondInterval is how often a node also syncs with its second relay. Two
-	// such calls fit into goneAfter, so the second relay keeps hearing through
-	// the nodes that the first one lives.
-	secondInterval = 2 * time.Second
-	// retryInterval is how often a relay that did not answer is tried again.
-	retryInterval = 10 * time.Second
-	// seedInterval is how often a relay syncs with a seed, to join parts of a
-	// fleet that know nothing of each other.
-	seedInterval = 10 * time.Second
 	// evidenceAge bounds the age of evidence passed on to other nodes.
 	evidenceAge = 3 * time.Second
+	// staleExchange is how long after the last call digests are compared again:
+	// they cost less than all changes of a longer time.
+	staleExchange = 30 * time.Second
+	// maxOwed bounds the records sent to a peer that lacks them. One that lacks
+	// more has just started and reads them from its own parent.
+	maxOwed = 64
 )
 
 // Call is one Sync to be sent.
@@ -26,221 +23,140 @@
 	// Address is the control address of the receiver.
 	Address string
 	Request *pb.SyncRequest
-	// marks is the log position up to which the request holds the marks made here.
-	marks uint64
-}
-
-// peer is what the directory knows of the exchange with one control address.
-type peer struct {
-	incarnation, position uint64
-	// acknowledged is the own sequence that the peer is known to hold.
-	acknowledged uint64
-	// marks is the log position up to which the peer has the marks made here.
-	marks  uint64
-	called time.Duration
-	// failingSince is the first failure after the last reply, -1 when there is none.
-	failingSince time.Duration
-}
-
-func (d *Directory) peer(address string) *peer {
-	p := d.peers[address]
-	if p == nil {
-		p = &peer{failingSince: -1, called: -retryInterval}
-		d.peers[address] = p
-	}
-	return p
-}
-
-// unreachable reports whether the node failed to answer for goneAfter.
-func (d *Directory) unreachable(now time.Duration, e *entry) bool {
-	p := d.peers[e.record.GetControlAddress()]
-	return p != nil && p.failingSince >= 0 && now-p.failingSince > goneAfter
+	// sent is the place in the own log that the receiver holds after the call.
+	sent uint64
+	// base is the receiver's position at the first part of an answer in parts.
+	base uint64
 }
 
 // Tick expires what is old and returns the calls of this round. It is meant to
 // be called every SyncInterval.
 func (d *Directory) Tick(now time.Duration) []Call {
 	d.expire(now)
+	d.updateTree()
 	d.prunePeers(now)
+	questions := d.suspects(now)
 	var calls []Call
-	for _, address := range d.targets(now) {
-		calls = append(calls, d.call(now, address))
+	for _, address := range d.exchanges(now) {
+		c := d.call(now, address)
+		c.Request.SilentNodes = questions[address]
+		delete(questions, address)
+		calls = append(calls, c)
+	}
+	for address, silent := range questions {
+		calls = append(calls, d.probe(now, address, silent))
 	}
 	return calls
 }
 
-// prunePeers forgets exchanges with addresses that were not called for long.
-func (d *Directory) prunePeers(now time.Duration) {
-	for address, p := range d.peers {
-		if now-p.called > goneRetention {
-			delete(d.peers, address)
-		}
+// exchanges returns the control addresses to sync with in this round, each once.
+func (d *Directory) exchanges(now time.Duration) []string {
+	targets := d.syncTargets(now)
+	d.compare(now, targets)
+	var addresses []string
+	for _, e := range append(targets, d.retryTargets(now)...) {
+		addresses = append(addresses, e.record.GetControlAddress())
+	}
+	if seed := d.seedTarget(now); seed != "" && !slices.Contains(addresses, seed) {
+		// A seed is called rarely, so positions would cost more than digests.
+		d.peer(seed).position = 0
+		addresses = append(addresses, seed)
 	}
-}
-
-// targets returns the control addresses to sync with in this round, each once.
-func (d *Directory) targets(now time.Duration) []string {
-	addresses := d.relayTargets(now)
-	addresses = append(addresses, d.retryTargets(now)...)
-	addresses = append(addresses, d.seedTargets(now)...)
 	slices.Sort(addresses)
 	return slices.DeleteFunc(slices.Compact(addresses), func(a string) bool {
 		return a == "" || a == d.own.GetControlAddress()
 	})
 }
 
-func (d *Directory) relayTargets(now time.Duration) []string {
-	selected := d.relays(now, true)
-	own := selected[d.own.GetDataCentre()]
-	// A leaving node that was the last of its data centre has no relay left.
-	if len(own) > 0 && !slices.ContainsFunc(own, d.isSelf) {
-		return d.ordinaryTargets(now, own)
-	}
-	var addresses []string
-	for _, es := range selected {
-		for _, e := range es {
-			if !d.isSelf(e) {
-				addresses = append(addresses, e.record.GetControlAddress())
-			}
-		}
-	}
-	return addresses
-}
-
-// ordinaryTargets returns the first relay, and the second one when it is due or
-// the first one fails.
-func (d *Directory) ordinaryTargets(now time.Duration, relays []*entry) []string {
-	var addresses []string
-	for i, e := range relays {
-		address := e.record.GetControlAddress()
-		if i == 0 || d.firstFails(relays) || now-d.peer(address).called >= secondInterval {
-			addresses = append(addresses, address)
-		}
+// heartbeat returns a request without records of other nodes.
+func (d *Directory) heartbeat(p *peer) *pb.SyncRequest {
+	request := &pb.SyncRequest{
+		NodeId:        d.own.GetNodeId(),
+		Incarnation:   d.own.GetIncarnation(),
+		Sequence:      d.own.GetSequence(),
+		ConfigVersion: d.configVersion,
 	}
-	return addresses
-}
-
-func (d *Directory) firstFails(relays []*entry) bool {
-	return len(relays) > 0 && d.peer(relays[0].record.GetControlAddress()).failingSince >= 0
-}
-
-// retryTargets returns relays that were passed over as unreachable and are due again.
-func (d *Directory) retryTargets(now time.Duration) []string {
-	var addresses []string
-	for dc, es := range d.relays(now, false) {
-		if dc != d.own.GetDataCentre() && d.relaySince < 0 {
-			continue
-		}
-		for _, e := range es {
-			address := e.record.GetControlAddress()
-			if !d.isSelf(e) && d.unreachable(now, e) && now-d.peer(address).called >= retryInterval {
-				addresses = append(addresses, address)
-			}
-		}
+	if p.acknowledged != d.own.GetSequence() {
+		request.Record = d.own
 	}
-	return addresses
+	return request
 }
 
-// seedTargets returns the next seed while no peer answers, and from time to time
-// if this node is a relay. It is one seed a round, because a joining node reads
-// the whole directory from each.
-func (d *Directory) seedTargets(now time.Duration) []string {
-	alone := now-d.lastReply >= goneAfter
-	due := d.relaySince >= 0 && now-d.lastSeed >= seedInterval
-	if len(d.seeds) == 0 || !alone && !due {
-		return nil
-	}
-	d.lastSeed = now
-	d.nextSeed = (d.nextSeed + 1) % len(d.seeds)
-	return d.seeds[d.nextSeed : d.nextSeed+1]
+// probe returns a call that asks about silent nodes.
+func (d *Directory) probe(now time.Duration, address string, silent []string) Call {
+	p := d.peer(address)
+	p.called = now
+	request := d.heartbeat(p)
+	request.Probe = true
+	request.SilentNodes = silent
+	return Call{Address: address, Request: request}
 }
 
+// call returns an exchange of records. It compares digests when the position in
+// the receiver's log is not known, or too old.
 func (d *Directory) call(now time.Duration, address string) Call {
 	p := d.peer(address)
+	request := d.heartbeat(p)
+	request.ReceiverIncarnation = p.incarnation
+	request.HeardNodes = d.evidence(now, address)
+	c := Call{Address: address, Request: request, sent: d.log.last}
+	if now-p.called > staleExchange {
+		p.position = 0
+	}
 	p.called = now
-	request := &pb.SyncRequest{
-		NodeId:              d.own.GetNodeId(),
-		Incarnation:         d.own.GetIncarnation(),
-		Sequence:            d.own.GetSequence(),
-		Position:            p.position,
-		ReceiverIncarnation: p.incarnation,
-		ConfigVersion:       d.configVersion,
-		Records:             d.marksSince(p.marks),
-		HeardNodes:          d.evidence(now, address),
+	if p.position == 0 {
+		request.Digest = d.digest(d.bucketCount())
+		return c
 	}
-	if p.acknowledged != d.own.GetSequence() {
-		request.Record = d.own
+	request.Position = p.position
+	if to := d.byAddress[address]; to != nil {
+		request.Records, c.sent = d.outgoing(now, p, to)
 	}
-	return Call{Address: address, Request: request, marks: d.log.last}
+	return c
 }
 
-// marksSince returns the gone records that this node made after a log position.
-// They are sent, because nobody reads the log of a node that is no relay any more.
-func (d *Directory) marksSince(position uint64) []*pb.NodeRecord {
-	if position == d.log.last {
+// evidence names the relays of other data centres that a relay of the own data
+// centre should know to be alive.
+func (d *Directory) evidence(now time.Duration, receiver string) []string {
+	to := d.byAddress[receiver]
+	if d.relaySince < 0 || to == nil || !d.local(to) {
 		return nil
 	}
-	var records []*pb.NodeRecord
-	for _, e := range d.entries {
-		if e.marked && e.position > position {
-			records = append(records, e.record)
-		}
-	}
-	return records
-}
-
-// evidence names the nodes that a receiver of the own data centre should know
-// to be alive. An ordinary node names the relays that answer it. A relay names
-// the answering relays of other data centres, and the nodes of its own that
-// cannot reach the other relay.
-func (d *Directory) evidence(now time.Duration, receiver string) []string {
 	var ids []string
-	receiverIsLocal := false
 	for _, e := range d.entries {
-		if e.record.GetControlAddress() == receiver {
-			receiverIsLocal = receiverIsLocal || d.local(e)
-			continue
-		}
-		if now-e.direct <= evidenceAge && d.namesAsHeard(now, e) {
+		if now-e.direct <= evidenceAge && !d.local(e) {
 			ids = append(ids, e.record.GetNodeId())
 		}
 	}
-	if !receiverIsLocal {
-		return nil
-	}
 	slices.Sort(ids)
 	return ids
 }
 
-func (d *Directory) namesAsHeard(now time.Duration, e *entry) bool {
-	if d.relaySince < 0 {
-		p := d.peers[e.record.GetControlAddress()]
-		return p != nil && p.failingSince < 0
-	}
-	return !d.local(e) || now-e.detached <= evidenceAge
-}
-
 // HandleReply takes the reply to a call. It returns a further call if the reply was cut.
 func (d *Directory) HandleReply(now time.Duration, c Call, reply *pb.SyncResponse) *Call {
 	d.lastReply = now
 	p := d.peer(c.Address)
+	p.renew(now, reply.GetReceiverIncarnation())
 	p.failingSince = -1
 	p.acknowledged = c.Request.GetSequence()
 	if reply.GetNeedRecord() {
 		p.acknowledged = 0
 	}
-	if p.incarnation != reply.GetReceiverIncarnation() || p.position < reply.GetPosition() {
-		p.position = reply.GetPosition()
+	from := d.byAddress[c.Address]
+	for _, r := range reply.GetRecords() {
+		if newer := d.merge(now, r, senderID(from)); newer != nil {
+			p.owe(newer.GetNodeId())
+		}
 	}
-	p.marks = c.marks
-	if p.incarnation != reply.GetReceiverIncarnation() {
-		p.incarnation = reply.GetReceiverIncarnation()
-		p.marks = 0
+	d.heardFrom(now, c, reply)
+	d.takeAnswers(now, c.Request.GetSilentNodes(), reply.GetHeardNodes())
+	if c.Request.GetProbe() {
+		return nil
 	}
-	for _, r := range reply.GetRecords() {
-		d.merge(now, r)
+	if len(c.Request.GetDigest()) > 0 {
+		return d.takeComparison(now, c, reply)
 	}
-	d.heardFrom(now, c.Address, reply)
+	d.takeChanges(p, c, reply)
 	if !reply.GetMore() {
 		return nil
 	}
@@ -248,20 +164,61 @@
 	return &next
 }
 
-// heardFrom notes that the node at address lives, and takes over what it
-// reports as lost if it is the relay of this node.
-func (d *Directory) heardFrom(now time.Duration, address string, reply *pb.SyncResponse) {
-	for _, e := range d.entries {
-		if e.record.GetControlAddress() == address && e.record.GetIncarnation() == reply.GetReceiverIncarnation() {
-			e.hear(now)
-			e.configVersion = reply.GetConfigVersion()
-		}
+func senderID(e *entry) string {
+	if e == nil {
+		return ""
 	}
-	relays := d.ownRelays(now)
-	if d.relaySince >= 0 || len(relays) == 0 {
+	return e.record.GetNodeId()
+}
+
+// takeChanges notes what both sides have after an exchange by positions.
+func (d *Directory) takeChanges(p *peer, c Call, reply *pb.SyncResponse) {
+	if c.Request.GetReceiverIncarnation() != reply.GetReceiverIncarnation() || p.position == 0 {
 		return
 	}
-	if relays[0].record.GetControlAddress() == address || d.firstFails(relays) {
+	p.position = max(p.position, reply.GetPosition())
+	p.sent = max(p.sent, c.sent)
+	for _, r := range c.Request.GetRecords() {
+		delete(p.owed, r.GetNodeId())
+	}
+}
+
+// takeComparison notes what the peer lacks after a comparison of digests, and
+// asks for the rest of a cut reply.
+func (d *Directory) takeComparison(now time.Duration, c Call, reply *pb.SyncResponse) *Call {
+	p := d.peer(c.Address)
+	buckets := len(c.Request.GetDigest())
+	lacking := d.lacking(d.byAddress[c.Address], buckets, reply)
+	if len(lacking) > maxOwed && now-p.renewed < goneAfter {
+		return nil
+	}
+	for _, id := range lacking {
+		p.owe(id)
+	}
+	if c.base == 0 {
+		c.base = reply.GetPosition()
+	}
+	if !reply.GetMore() {
+		p.position = c.base
+		p.sent = max(p.sent, c.sent)
+		return nil
+	}
+	next := d.call(now, c.Address)
+	next.base = c.base
+	next.sent = c.sent
+	next.Request.Digest = d.digest(buckets)
+	next.Request.FirstBucket = reply.GetNextBucket()
+	return &next
+}
+
+// heardFrom notes that the node that was called lives, and takes over what it
+// reports as lost if this node follows it.
+func (d *Directory) heardFrom(now time.Duration, c Call, reply *pb.SyncResponse) {
+	e := d.byAddress[c.Address]
+	if e != nil && e.record.GetIncarnation() == reply.GetReceiverIncarnation() {
+		e.hear(now)
+	}
+	if slices.Contains(d.upstream, c.Address) {
 		d.lost = reply.GetLostDataCentres()
 	}
 }
@@ -276,28 +233,64 @@
 
 // HandleSync answers the Sync of another node.
 func (d *Directory) HandleSync(now time.Duration, request *pb.SyncRequest) *pb.SyncResponse {
-	if r := request.GetRecord(); r.GetNodeId() == request.GetNodeId() && r != nil {
-		d.merge(now, r)
-	}
-	for _, r := range request.GetRecords() {
-		d.merge(now, r)
-	}
 	reply := &pb.SyncResponse{
 		ReceiverIncarnation: d.own.GetIncarnation(),
 		ConfigVersion:       d.configVersion,
 		LostDataCentres:     d.lost,
 	}
+	d.takeRecords(now, request, reply)
 	d.hearSender(now, request, reply)
 	d.hearOthers(now, request)
+	reply.HeardNodes = d.heardAtFirstHand(now, request.GetSilentNodes())
+	switch {
+	case request.GetProbe():
+	case len(request.GetDigest()) > 0:
+		reply.Position = d.log.last
+		d.answerDigest(request, reply)
+	case request.GetReceiverIncarnation() != d.own.GetIncarnation():
+		// The sender knew an earlier process; it asks again with a digest.
+		reply.More = true
+	default:
+		d.answerChanges(now, request, reply)
+	}
+	return reply
+}
+
+// takeRecords merges the records of a request. The sender of one that is out of
+// date gets the newer one.
+func (d *Directory) takeRecords(now time.Duration, request *pb.SyncRequest, reply *pb.SyncResponse) {
+	if r := request.GetRecord(); r != nil && r.GetNodeId() == request.GetNodeId() {
+		d.merge(now, r, request.GetNodeId())
+	}
+	for _, r := range request.GetRecords() {
+		if newer := d.merge(now, r, request.GetNodeId()); newer != nil {
+			reply.Records = append(reply.Records, newer)
+		}
+	}
+}
+
+// answerChanges adds the changes since the sender's position, without those that
+// this node sent it in own calls.
+func (d *Directory) answerChanges(now time.Duration, request *pb.SyncRequest, reply *pb.SyncResponse) {
 	position := request.GetPosition()
-	if request.GetReceiverIncarnation() != d.own.GetIncarnation() {
-		position = 0
+	sender := d.entries[request.GetNodeId()]
+	if sender == nil {
+		// Its record is asked for first; the position stays.
+		reply.Position = position
+		return
+	}
+	p := d.peer(sender.record.GetControlAddress())
+	if p.incarnation == request.GetIncarnation() {
+		p.confirm(position)
+		position = p.sent
 	}
-	records, last, more := d.log.since(position, request.GetNodeId(), d.entries)
+	records, last, more := d.log.since(position, d.entries, d.sharedWith(sender))
 	reply.Records = append(reply.Records, records...)
 	reply.Position = last
 	reply.More = more
-	return reply
+	d.payInReply(p, reply)
+	p.pulled = now
+	p.replied = reply.GetPosition()
 }
 
 // hearSender counts the request as a heartbeat. A sender whose record here is
@@ -317,15 +310,11 @@
 	if heartbeat.GetIncarnation() < e.record.GetIncarnation() {
 		return
 	}
-	e.configVersion = request.GetConfigVersion()
+	d.peer(e.record.GetControlAddress()).renew(now, request.GetIncarnation())
 	// Contact with another data centre counts only if it answers: after a
 	// one-way cut its requests may still arrive, but work sent to it is lost.
-	if !d.local(e) {
-		return
-	}
-	e.hear(now)
-	if !slices.Contains(request.GetHeardNodes(), d.otherRelay) {
-		e.detached = now
+	if d.local(e) {
+		e.hear(now)
 	}
 }
 
--- a/membership/view.go
+++ b/membership/view.go
@@ -3,7 +3,10 @@
 // rests on it: it may lag, and it may be wrong.
 package membership
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // State is the state of a backend server as it announces it.
 type State string
@@ -57,16 +60,15 @@
 		v.byService[b.Service] = append(v.byService[b.Service], b)
 	}
 	for _, bs := range v.byService {
-		slices.SortFunc(bs, func(a, b Backend) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		sortBackends(bs)
 	}
 	return v
 }
 
+func sortBackends(bs []Backend) {
+	slices.SortFunc(bs, func(a, b Backend) int { return strings.Compare(a.ID, b.ID) })
+}
+
 // Backends returns the backend servers of a service. The caller must not change them.
 func (v *View) Backends(service string) []Backend { return v.byService[service] }
 
