Measure the latency of the path and stop allocating a buffer per request

A profile at 1,000 requests/s showed that 73 % of the memory that entry and guard allocated were buffers of 32 KB, one for each request: net/http copies the body through ReadFrom of the connection, which the counting connection did not have. It now has one that uses the pool of buffers and counts each write.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -38,6 +39,15 @@
 	return c.Conn.Write(p)
 }
 
+// ReadFrom counts each write. Without it net/http copies request bodies, empty
+// ones too, through a new buffer of 32 KB, which was 73 % of the memory that a
+// node allocated.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	buffer := buffers.Get().(*[copyBufferBytes]byte)
+	defer buffers.Put(buffer)
+	return io.CopyBuffer(struct{ io.Writer }{c}, r, buffer[:])
+}
+
 // seal prevents every later write and returns the number of writes started before.
 // A write that is not in this number finds the connection sealed.
 func (c *conn) seal() int64 {
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -25,9 +25,11 @@
 	})
 }
 
-func TestScenarios(t *testing.T) {
+func TestScenarios(t *testing.T) { run(t, "testdata") }
+
+func run(t *testing.T, directory string) {
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata",
+		Dir: directory,
 		Setup: func(env *testscript.Env) error {
 			f := newFleet(env)
 			env.Values[fleetKey{}] = f
@@ -54,6 +56,7 @@
 			"share":   withFleet((*fleet).share),
 			"ran":     withFleet((*fleet).ran),
 			"stat":    withFleet((*fleet).stat),
+			"measure": withFleet((*fleet).measure),
 		},
 	})
 }
--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -68,9 +68,7 @@
 	if name := q.options["organisation"]; name != "" {
 		organisationName = name
 	}
-	basic := &http.Request{Header: http.Header{}}
-	basic.SetBasicAuth(organisationName, secret)
-	r.Header.Set("Proxy-Authorization", basic.Header.Get("Authorization"))
+	authorise(r, organisationName)
 	r.Header.Set(backend.HeaderWorkID, q.id)
 	for option, header := range map[string]string{"key": "Idempotency-Key", "timeout": "Request-Timeout", "service-ms": backend.HeaderServiceMS} {
 		if value := q.options[option]; value != "" {
@@ -104,6 +102,12 @@
 	})
 }
 
+func authorise(r *http.Request, organisationName string) {
+	basic := &http.Request{Header: http.Header{}}
+	basic.SetBasicAuth(organisationName, secret)
+	r.Header.Set("Proxy-Authorization", basic.Header.Get("Authorization"))
+}
+
 func options(args []string) map[string]string {
 	all := make(map[string]string)
 	for _, arg := range args {
