--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -207,7 +207,7 @@
 		Snapshot:   snapshot,
 		View:       f.view,
 		Resolver:   entry.NewControlResolver(&http.Client{}),
-		Limits:     settings.Limits{MaxHeaderBytes: 8 << 10, BodyStallTimeout: 300 * time.Millisecond},
+		Limits:     settings.Limits{MaxHeaderBytes: 8 << 10, BodyStallTimeout: 300 * time.Millisecond, RegionBytes: 1},
 	})
 	l := listen(t)
 	serve(t, e.Server(), l)
--- /dev/null
+++ b/entry/task_test.go
@@ -0,0 +1,60 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/membership"
+	"github.com/jackdawlane/jackdawlane/standin/backend"
+)
+
+// Guards against refusals that reach the caller late because work is tried
+// elsewhere again and again, or after its time for that is over.
+func TestFullWorkIsTriedElsewhereForShortTime(t *testing.T) {
+	for _, test := range []struct {
+		delay time.Duration
+		most  int32
+	}{{0, 3}, {50 * time.Millisecond, 1}} {
+		var nodes []*node
+		for i := range 5 {
+			n := newNode(t)
+			n.announce(t, fmt.Sprintf("127.0.0.1:%d", i+1), membership.StateReady)
+			n.hop.set(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(test.delay)
+				w.Header().Set(hop.HeaderOutcome, string(hop.OutcomeNotRun))
+				w.Header().Set(hop.HeaderReason, string(hop.ReasonFull))
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			nodes = append(nodes, n)
+		}
+		f := newFleet(t, nodes...)
+		res := f.do(f.request("POST", "/work", ""))
+		assert.Equal(t, res.outcome(), "not-run")
+		assert.Equal(t, res.reason(), hop.ReasonFull)
+		var attempts int32
+		for _, n := range nodes {
+			attempts += n.hop.requests.Load()
+		}
+		assert.Assert(t, attempts >= 1 && attempts <= test.most, "%d attempts", attempts)
+	}
+}
+
+// Guards against traffic to other regions beyond the budget of bytes, and
+// against a request above the whole budget that could never be sent.
+func TestRegionBytes(t *testing.T) {
+	n := newNode(t)
+	n.self.Region = "far"
+	n.start(nil)
+	n.addBackend(t, backend.New(backend.DefaultSettings, 1).HTTPServer())
+	near := newNode(t)
+	f := newFleet(t, near, n)
+	assert.Equal(t, f.do(f.request("POST", "/work", "content")).outcome(), "answer")
+	res := f.do(f.request("POST", "/work", "content"))
+	assert.Equal(t, res.outcome(), "not-run")
+	assert.Equal(t, res.reason(), hop.ReasonNoBackend)
+}
--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -90,6 +90,8 @@
 	q.reason = res.Header.Get(hop.HeaderReason)
 	if q.outcome == string(hop.OutcomeAnswer) && res.StatusCode == http.StatusOK {
 		q.answerText = string(text)
+	} else {
+		q.err = fmt.Errorf("%s: %.200s", res.Status, text)
 	}
 }
 
