--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test soak generate run bench
+.PHONY: build check test soak fuzz generate run bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -33,3 +33,12 @@
 # Measures and rewrites the tables under docs/measurements; takes some minutes.
 bench:
 	go run ./cmd/jackdawbench overload
+
+# Runs every fuzz target for some seconds; their seeds are part of make test.
+fuzz:
+	@for package in $$(go list ./...); do \
+	  for target in $$(go test -list '^Fuzz' $$package | grep '^Fuzz'); do \
+	    echo "$$package $$target"; \
+	    go test -run xxx -fuzz "^$$target$$" -fuzztime 10s $$package || exit 1; \
+	  done; \
+	done
