Test operators at once and the spread of changes with real processes

operators.txtar: two command-line processes and a collection at once, many rounds, on the same and on different routes, with lost answers. propagation.txtar: time from a change until it is in force on all nodes, with stale watches, a relay cut off from the store, and a node that starts through a lagging peer while the store is down.

The store stand-in can lose the answers of one key only; without that, page writes used up the lost answers.

--- a/cli/change.go
+++ b/cli/change.go
@@ -39,6 +39,23 @@
 	return a.printVersion(version)
 }
 
+// repeated reports whether the change of the flag --change-id is in force already, and prints its version.
+// An edit or removal makes other rows when it is repeated, so it is looked up before they are made.
+func (a *app) repeated(ctx context.Context) (bool, error) {
+	if a.changeID == "" {
+		return false, nil
+	}
+	editor, err := a.editor()
+	if err != nil {
+		return false, err
+	}
+	version, found, err := editor.Find(ctx, a.changeID, 0)
+	if err != nil || !found {
+		return false, err
+	}
+	return true, a.printVersion(version)
+}
+
 func (a *app) newChangeID() string {
 	if a.changeID != "" {
 		return a.changeID
--- a/cli/tables.go
+++ b/cli/tables.go
@@ -107,6 +107,9 @@
 // write commits the rows that edit makes from the version in force.
 // A change of the same rows since that version is a conflict.
 func (a *app) write(ctx context.Context, based bool, edit func(context.Context, *config.View) (config.Upserts, error)) error {
+	if done, err := a.repeated(ctx); done || err != nil {
+		return err
+	}
 	v, err := a.view(ctx)
 	if err != nil {
 		return err
@@ -238,6 +241,9 @@
 	return &cobra.Command{
 		Use: "remove " + key, Short: "Remove one row", Args: exactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
+			if done, err := a.repeated(c.Context()); done || err != nil {
+				return err
+			}
 			v, err := a.view(c.Context())
 			if err != nil {
 				return err
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -118,19 +118,23 @@
 	return p
 }
 
-// start runs a program of the project under a name.
-func (f *fleet) start(ts *testscript.TestScript, p *process) {
-	path := ""
+// program returns the path of a program of the project.
+func program(ts *testscript.TestScript, name string) string {
 	for directory := range strings.SplitSeq(ts.Getenv("PATH"), string(os.PathListSeparator)) {
-		candidate := filepath.Join(directory, p.args[0])
+		candidate := filepath.Join(directory, name)
 		if _, err := os.Stat(candidate); err == nil {
-			path = candidate
-			break
+			return candidate
 		}
 	}
+	ts.Fatalf("no program %s", name)
+	return ""
+}
+
+// start runs a program of the project under a name.
+func (f *fleet) start(ts *testscript.TestScript, p *process) {
 	log, err := os.OpenFile(filepath.Join(f.directory, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(ts, err)
-	p.command = exec.Command(path, p.args[1:]...)
+	p.command = exec.Command(program(ts, p.args[0]), p.args[1:]...)
 	p.command.Stdout = log
 	p.command.Stderr = log
 	check(ts, p.command.Start())
@@ -219,7 +223,8 @@
 	return address
 }
 
-// startNode: node NAME REGION DATA-CENTRE [links] [section.key=value ...]
+// startNode: node NAME REGION DATA-CENTRE [links] [seed=NODE] [section.key=value ...]
+// The seeds are all nodes before it, or the one given.
 // With links, other nodes reach it through relays NAME.hop and NAME.control,
 // and it reaches the store through NAME.store.
 func (f *fleet) startNode(ts *testscript.TestScript, args []string) {
@@ -244,6 +249,10 @@
 			continue
 		}
 		key, value, _ := strings.Cut(arg, "=")
+		if key == "seed" {
+			values["peers"]["seeds"] = f.process(ts, value).address["advertise"]
+			continue
+		}
 		section, key, _ := strings.Cut(key, ".")
 		if values[section] == nil {
 			values[section] = map[string]string{}
@@ -364,6 +373,7 @@
 // await waits for a condition:
 //
 //	await version NODE N              the node has at least version N in force
+//	await nodes NODE N                the node knows N nodes
 //	await backends NODE SERVICE N     the node knows N ready backend servers
 //	await health NODE BACKEND STATE   the node knows it as healthy, suspect or ejected
 func (f *fleet) await(ts *testscript.TestScript, args []string) {
@@ -376,6 +386,8 @@
 		switch args[0] {
 		case "version":
 			return f.version(p) >= args[2] && len(f.version(p)) >= len(args[2])
+		case "nodes":
+			return fmt.Sprint(len(status.GetDirectory())) == args[2]
 		case "backends":
 			return fmt.Sprint(countReady(status, args[2])) == args[3]
 		case "health":
--- a/standin/objectstore/faults.go
+++ b/standin/objectstore/faults.go
@@ -15,6 +15,8 @@
 	SlowMS int64 `json:"slow_ms"`
 	// LoseAnswers is the number of next writes that take effect but are not answered.
 	LoseAnswers int `json:"lose_answers"`
+	// LoseKey restricts LoseAnswers to writes of one key; empty means all.
+	LoseKey string `json:"lose_key"`
 	// StaleWatches lets watches see the objects as they were when it was switched on.
 	StaleWatches bool `json:"stale_watches"`
 }
@@ -80,8 +82,8 @@
 }
 
 // loseAnswer breaks the connection of a write that has taken effect. The caller holds the mutex.
-func (s *Server) loseAnswer() {
-	if s.faults.LoseAnswers > 0 {
+func (s *Server) loseAnswer(key string) {
+	if s.faults.LoseAnswers > 0 && (s.faults.LoseKey == "" || s.faults.LoseKey == key) {
 		s.faults.LoseAnswers--
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/objectstore/server.go
+++ b/standin/objectstore/server.go
@@ -211,7 +211,7 @@
 		s.objects[key] = object{value: value, etag: etag}
 	}
 	s.broadcast()
-	s.loseAnswer()
+	s.loseAnswer(key)
 	if etag == "" || exists {
 		return etag, http.StatusOK
 	}
