--- a/cli/root.go
+++ b/cli/root.go
@@ -84,12 +84,12 @@
 	switch {
 	case err == nil:
 		return ExitOK
+	case errors.Is(err, config.ErrOutcomeUnknown):
+		return ExitUnknown
 	case errors.IsAny(err, ErrUsage, ErrNotFound, config.ErrInvalidChange, config.ErrNoVersion, config.ErrChangeIDReused, config.ErrTooLarge, settings.ErrInvalid):
 		return ExitInvalid
 	case errors.Is(err, config.ErrConflict):
 		return ExitConflict
-	case errors.Is(err, config.ErrOutcomeUnknown):
-		return ExitUnknown
 	case errors.IsAny(err, config.ErrUnavailable, ErrNode):
 		return ExitUnavailable
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -121,8 +121,12 @@
 		return nil, unimplemented("GetConfig")
 	}
 	version, head := h.Config.Head()
-	reply := &pb.GetConfigResponse{Version: version, Head: head, Pages: make(map[string][]byte)}
-	size := len(head)
+	reply := &pb.GetConfigResponse{Version: version, Pages: make(map[string][]byte)}
+	if len(r.GetPageHashes()) == 0 {
+		// With the pages too, the head would be most of what one change moves.
+		reply.Head = head
+	}
+	size := 0
 	for _, hash := range r.GetPageHashes() {
 		page, ok := h.Config.Page(hash)
 		if !ok {
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -48,11 +48,16 @@
 	reply, err := client.GetConfig(context.Background(), &pb.GetConfigRequest{PageHashes: []string{"a", "missing", "b"}})
 	assert.NilError(t, err)
 	assert.Equal(t, reply.Version, uint64(3))
-	assert.Equal(t, string(reply.Head), "head")
+	assert.Equal(t, len(reply.Head), 0)
 	assert.Equal(t, len(reply.Pages), 1)
 	reply, err = client.GetConfig(context.Background(), &pb.GetConfigRequest{PageHashes: []string{"c"}})
 	assert.NilError(t, err)
 	assert.Equal(t, string(reply.Pages["c"]), "small")
+	reply, err = client.GetConfig(context.Background(), &pb.GetConfigRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Version, uint64(3))
+	assert.Equal(t, string(reply.Head), "head")
+	assert.Equal(t, len(reply.Pages), 0)
 }
 
 // Guards against a nil dereference or an empty success for a service that the node lacks.
--- a/gen/jackdawlane/v1/jackdawlanev1connect/control.connect.go
+++ b/gen/jackdawlane/v1/jackdawlanev1connect/control.connect.go
@@ -57,7 +57,7 @@
 type ControlServiceClient interface {
 	// Sync exchanges membership records and the configuration version.
 	Sync(context.Context, *v1.SyncRequest) (*v1.SyncResponse, error)
-	// GetConfig returns the configuration head and the requested pages.
+	// GetConfig returns the configuration head or the requested pages.
 	GetConfig(context.Context, *v1.GetConfigRequest) (*v1.GetConfigResponse, error)
 	// ResolveAttempt decides the fate of an attempt whose answer was lost.
 	ResolveAttempt(context.Context, *v1.ResolveAttemptRequest) (*v1.ResolveAttemptResponse, error)
@@ -187,7 +187,7 @@
 type ControlServiceHandler interface {
 	// Sync exchanges membership records and the configuration version.
 	Sync(context.Context, *v1.SyncRequest) (*v1.SyncResponse, error)
-	// GetConfig returns the configuration head and the requested pages.
+	// GetConfig returns the configuration head or the requested pages.
 	GetConfig(context.Context, *v1.GetConfigRequest) (*v1.GetConfigResponse, error)
 	// ResolveAttempt decides the fate of an attempt whose answer was lost.
 	ResolveAttempt(context.Context, *v1.ResolveAttemptRequest) (*v1.ResolveAttemptResponse, error)
