--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -36,32 +36,46 @@
 			env.Defer(f.killAll)
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"store":      withFleet((*fleet).startStore),
-			"tables":     withFleet((*fleet).applyTables),
-			"node":       withFleet((*fleet).startNode),
-			"backend":    withFleet((*fleet).startBackend),
-			"restart":    withFleet((*fleet).restart),
-			"signal":     withFleet((*fleet).signal),
-			"exited":     withFleet((*fleet).exited),
-			"fault":      withFleet((*fleet).fault),
-			"await":      withFleet((*fleet).await),
-			"send":       withFleet((*fleet).send),
-			"outcome":    withFleet((*fleet).outcome),
-			"running":    withFleet((*fleet).running),
-			"load":       withFleet((*fleet).load),
-			"unload":     withFleet((*fleet).unload),
-			"judge":      withFleet((*fleet).judge),
-			"tally":      withFleet((*fleet).tally),
-			"share":      withFleet((*fleet).share),
-			"ran":        withFleet((*fleet).ran),
-			"stat":       withFleet((*fleet).stat),
-			"judged":     withFleet((*fleet).judged),
-			"counted":    withFleet((*fleet).counted),
-			"floor":      withFleet((*fleet).watchFloor),
-			"floor-kept": withFleet((*fleet).floorKept),
-			"serves":     withFleet((*fleet).serves),
-			"measure":    withFleet((*fleet).measure),
-		},
+		Cmds: scriptCommands(),
 	})
 }
+
+// commands are the commands of the scripts, beyond those of testscript itself.
+var commands = map[string]func(*fleet, *testscript.TestScript, []string){
+	"await":      (*fleet).await,
+	"backend":    (*fleet).startBackend,
+	"counted":    (*fleet).counted,
+	"exited":     (*fleet).exited,
+	"fault":      (*fleet).fault,
+	"floor":      (*fleet).watchFloor,
+	"floor-kept": (*fleet).floorKept,
+	"inforce":    (*fleet).inForce,
+	"judge":      (*fleet).judge,
+	"judged":     (*fleet).judged,
+	"load":       (*fleet).load,
+	"measure":    (*fleet).measure,
+	"node":       (*fleet).startNode,
+	"outcome":    (*fleet).outcome,
+	"race":       (*fleet).race,
+	"ran":        (*fleet).ran,
+	"restart":    (*fleet).restart,
+	"running":    (*fleet).running,
+	"send":       (*fleet).send,
+	"serves":     (*fleet).serves,
+	"share":      (*fleet).share,
+	"signal":     (*fleet).signal,
+	"started":    (*fleet).startedWith,
+	"stat":       (*fleet).stat,
+	"store":      (*fleet).startStore,
+	"tables":     (*fleet).applyTables,
+	"tally":      (*fleet).tally,
+	"unload":     (*fleet).unload,
+}
+
+func scriptCommands() map[string]func(*testscript.TestScript, bool, []string) {
+	all := make(map[string]func(*testscript.TestScript, bool, []string))
+	for name, f := range commands {
+		all[name] = withFleet(f)
+	}
+	return all
+}
