--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,7 @@
 	n.metrics.Publish("config_version", func() any { return n.config.Snapshot().Version() })
 	n.metrics.Publish("backend_servers", func() any { return len(n.guard.Backends(time.Now())) })
 	n.metrics.Publish("relay", func() any { return n.syncer.IsRelay() })
+	n.metrics.Publish("lost_data_centres", func() any { return n.syncer.Lost() })
 }
 
 // Run serves until ctx ends, then stops within the stop timeout of the
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -363,6 +364,9 @@
 //	await version NODE N              the node has at least version N in force
 //	await backends NODE SERVICE N     the node knows N ready backend servers
 //	await health NODE BACKEND STATE   the node knows it as healthy, suspect or ejected
+//	await state NODE OTHER STATE      the node knows the other as serving, leaving or gone
+//	await relay NODE true|false       the node is a relay, or not
+//	await lost NODE DATA-CENTRE|none  the data centres that the node has lost contact with
 func (f *fleet) await(ts *testscript.TestScript, args []string) {
 	p := f.process(ts, args[1])
 	waitFor(ts, strings.Join(args, " "), func() bool {
@@ -372,7 +376,14 @@
 		}
 		switch args[0] {
 		case "version":
-			return f.version(p) >= args[2] && len(f.version(p)) >= len(args[2])
+			version := fmt.Sprint(f.metrics(p).Version)
+			return version >= args[2] && len(version) >= len(args[2])
+		case "relay":
+			return fmt.Sprint(f.metrics(p).Relay) == args[2]
+		case "lost":
+			return cmp.Or(strings.Join(f.metrics(p).Lost, ","), "none") == args[2]
+		case "state":
+			return stateOf(status, args[2]) == args[3]
 		case "backends":
 			return fmt.Sprint(countReady(status, args[2])) == args[3]
 		case "health":
@@ -383,22 +394,33 @@
 	})
 }
 
-// version returns the version that the metrics of a node show.
-func (f *fleet) version(p *process) string {
+// metrics are those of a node that scenarios read.
+type metrics struct {
+	Version uint64   `json:"config_version"`
+	Relay   bool     `json:"relay"`
+	Lost    []string `json:"lost_data_centres"`
+}
+
+// metrics returns the metrics of a node, empty while it does not answer.
+func (f *fleet) metrics(p *process) metrics {
+	var all struct{ Jackdawlane metrics }
 	res, err := http.Get("http://" + p.address["metrics"])
 	if err != nil {
-		return ""
+		return metrics{}
 	}
 	defer res.Body.Close()
-	var metrics struct {
-		Jackdawlane struct {
-			Version uint64 `json:"config_version"`
+	_ = json.NewDecoder(res.Body).Decode(&all)
+	return all.Jackdawlane
+}
+
+// stateOf returns the state of a node in the directory of another one.
+func stateOf(status *pb.StatusResponse, node string) string {
+	for _, r := range status.GetDirectory() {
+		if r.GetNodeId() == node {
+			return strings.ToLower(strings.TrimPrefix(r.GetState().String(), "NODE_STATE_"))
 		}
 	}
-	if json.NewDecoder(res.Body).Decode(&metrics) != nil {
-		return ""
-	}
-	return fmt.Sprint(metrics.Jackdawlane.Version)
+	return "unknown"
 }
 
 func countReady(status *pb.StatusResponse, service string) int {
