Keep the check of the cost line in TestMeasureSmall

The rewrite of the measurement had dropped the line through the sizes and the size of 112 nodes. Both are back; the checks of each role and of 196 nodes stay.

--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -364,11 +364,41 @@
 	return stats.HeapAlloc
 }
 
+// ordinaryBytes returns the mean of all nodes but relays, with the target's churn.
+func (m measurement) ordinaryBytes() float64 {
+	sum, nodes := 0.0, 0
+	for _, role := range roles[2:] {
+		l := m.steady[role]
+		sum += float64(l.nodes) * (l.bytes + targetReplacements*m.replace[role].bytes)
+		nodes += l.nodes
+	}
+	return sum / float64(nodes)
+}
+
+// line fits y = a + b x by least squares and returns its value at x, but at
+// least the value of the largest size: a falling line is noise or a fixed cost
+// that small fleets spread over fewer nodes.
+func line(ms []measurement, at float64, y func(measurement) float64) float64 {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(ms))
+	for _, m := range ms {
+		x := float64(m.nodes)
+		sx += x
+		sy += y(m)
+		sxx += x * x
+		sxy += x * y(m)
+	}
+	slope := (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return max((sy-slope*sx)/n+slope*at, y(ms[len(ms)-1]))
+}
+
 // Guards against a cost per node that grows beyond the budget of the target, and
 // against a tree that is slower than the configuration may be.
 func TestMeasureSmall(t *testing.T) {
-	for _, nodes := range []int{28, 56, 196} {
+	var ms []measurement
+	for _, nodes := range []int{28, 56, 112, 196} {
 		m := measure(t, nodes, 10, 3)
+		ms = append(ms, m)
 		for role, l := range m.steady {
 			total := l.bytes + m.replace[role].bytes*targetReplacements
 			assert.Assert(t, total <= budgetBytes, "%d nodes, %s: %.0f + %.0f", nodes, role, l.bytes, m.replace[role].bytes)
@@ -378,6 +408,8 @@
 		assert.Assert(t, worst(m.change) <= goneAfter, m.change)
 		assert.Assert(t, worst(m.config) <= budgetConfig, m.config)
 	}
+	total := line(ms, targetNodes, measurement.ordinaryBytes)
+	assert.Assert(t, total <= budgetBytes, "%.0f B/s at the target", total)
 	_, memory := targetDirectory()
 	assert.Assert(t, memory <= budgetMemory, memory)
 }
