--- a/scenarios/health_test.go
+++ b/scenarios/health_test.go
@@ -1,9 +1,7 @@
 package scenarios
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,34 +12,14 @@
 	"github.com/jackdawlane/jackdawlane/hop"
 )
 
-// nodeMetrics are the metrics that the scenarios read.
-type nodeMetrics struct {
-	Jackdawlane struct {
-		Health  map[string]string `json:"health"`
-		Ejected int               `json:"observe.ejected"`
-		Suspect int               `json:"observe.suspected"`
-	}
-}
-
-// metrics returns the metrics of a node; ok is false while it does not answer.
-func (f *fleet) metrics(p *process) (m nodeMetrics, ok bool) {
-	client := http.Client{Timeout: time.Second}
-	res, err := client.Get("http://" + p.address["metrics"])
-	if err != nil {
-		return m, false
-	}
-	defer res.Body.Close()
-	return m, json.NewDecoder(res.Body).Decode(&m) == nil
-}
-
 // judged: judged NODE BACKEND STATE waits until the guard itself judges it so,
 // which it does before its record says it.
 func (f *fleet) judged(ts *testscript.TestScript, args []string) {
 	p, b := f.process(ts, args[0]), f.process(ts, args[1])
 	waitFor(ts, strings.Join(args, " "), func() bool {
-		m, ok := f.metrics(p)
-		state, unhealthy := m.Jackdawlane.Health[b.service+"@"+b.address["backend"]]
-		return ok && (state == args[2] || !unhealthy && args[2] == "healthy")
+		m := f.metrics(p)
+		state, unhealthy := m.Health[b.service+"@"+b.address["backend"]]
+		return m.answered && (state == args[2] || !unhealthy && args[2] == "healthy")
 	})
 }
 
@@ -50,11 +28,11 @@
 func (f *fleet) counted(ts *testscript.TestScript, args []string) {
 	n := 0
 	for name := range strings.SplitSeq(args[0], ",") {
-		m, ok := f.metrics(f.process(ts, name))
-		if !ok {
+		m := f.metrics(f.process(ts, name))
+		if !m.answered {
 			ts.Fatalf("%s gives no metrics", name)
 		}
-		n += map[string]int{"suspected": m.Jackdawlane.Suspect, "ejected": m.Jackdawlane.Ejected}[args[1]]
+		n += map[string]int{"suspected": m.Suspected, "ejected": m.Ejected}[args[1]]
 	}
 	low, _ := strconv.Atoi(args[2])
 	high, _ := strconv.Atoi(args[3])
@@ -96,8 +74,7 @@
 		f.mu.Lock()
 		p := f.processes[name]
 		f.mu.Unlock()
-		m, _ := f.metrics(p)
-		for id, state := range m.Jackdawlane.Health {
+		for id, state := range f.metrics(p).Health {
 			if state == "ejected" && strings.HasPrefix(id, service+"@") {
 				ids[id] = true
 			}
