Prove ejection under failure and measure it with the report interval

An answer of an ejected backend server is good when it did not fail and the backend server is not suspected after it. Before, a single slow answer started the count again; with exponential service times, of which a sixth are slow, the floor scenario did not see a return within 25 s.

--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -224,3 +224,41 @@
 	used, _ := s.Load("b")
 	assert.Equal(t, used, 0)
 }
+
+// steeringObserver has a set state and admits idempotent re-tests once.
+type steeringObserver struct {
+	noObserver
+	state   Health
+	retests int
+}
+
+func (o *steeringObserver) State(string) Health { return o.state }
+
+func (o *steeringObserver) AdmitRetest(_ string, idempotent bool) bool {
+	if idempotent {
+		o.retests++
+	}
+	return idempotent && o.retests == 1
+}
+
+// Guards against work that must not repeat used as a re-test, against Force that
+// overrides an ejection, and against a re-test refused or counted again after its queue.
+func TestSteering(t *testing.T) {
+	for _, c := range []struct {
+		state             Health
+		force, idempotent bool
+		want              hop.Reason
+	}{
+		{Healthy, false, false, ""},
+		{Suspect, false, false, hop.ReasonSuspect},
+		{Suspect, true, false, ""},
+		{Suspect, false, true, ""},
+		{Ejected, true, false, hop.ReasonEjected},
+		{Ejected, false, true, ""},
+	} {
+		g := New(Config{Observer: &steeringObserver{state: c.state}})
+		j := &job{force: c.force, Work: Work{Idempotent: c.idempotent}}
+		assert.Equal(t, g.steer(j), c.want, "%+v", c)
+		assert.Equal(t, g.steer(j), c.want, "again: %+v", c)
+	}
+}
--- a/health/driver_test.go
+++ b/health/driver_test.go
@@ -114,6 +114,7 @@
 	healthySuspected int
 	healthyEjected   int
 	requests         int
+	reports, turns   int
 }
 
 func newResult() result {
--- a/health/judge.go
+++ b/health/judge.go
@@ -87,7 +87,8 @@
 }
 
 // Observe takes the result of one piece of work and reports whether it was good:
-// neither shed, nor failed, nor slow for its route. Latency excludes time in the guard's queue.
+// an answer that neither was shed nor failed, of a backend server that is not
+// suspected. A single slow answer may be within the expectation. Latency excludes time in the guard's queue.
 func (j *Judge) Observe(now time.Duration, backendID, serviceName, route string, outcome Outcome, latency time.Duration) bool {
 	if outcome == Shed {
 		return false
@@ -105,7 +106,7 @@
 	x := b.expect(o)
 	b.live.add(o, x, steeringCap)
 	b.steer()
-	return !o.failed && !x.slow(o.bucket)
+	return !o.failed && !b.suspect
 }
 
 // MergeBaseline takes the work of the other guards of a service in the latest interval.
--- a/health/measure_test.go
+++ b/health/measure_test.go
@@ -43,6 +43,14 @@
 	for _, i := range broken {
 		r.repair(i)
 	}
+	return r.finish()
+}
+
+// finish adds what the policy counted itself.
+func (r *run) finish() result {
+	if p, ok := r.policy.(*judgePolicy); ok {
+		r.result.reports, r.result.turns = p.reports, p.turns
+	}
 	return r.result
 }
 
@@ -94,7 +102,7 @@
 	for n := range hours * int(time.Hour/cycle) {
 		r.disturbedCycle(n)
 	}
-	return r.result
+	return r.finish()
 }
 
 func (r *run) disturbedCycle(n int) {
@@ -139,11 +147,16 @@
 	a.healthySuspected += b.healthySuspected
 	a.healthyEjected += b.healthyEjected
 	a.requests += b.requests
+	a.reports += b.reports
+	a.turns += b.turns
 }
 
 // parallelRuns bounds the processor use on shared machines.
 const parallelRuns = 4
 
+// reportRate returns the reports of a guard on one service, in reports/s.
+func (a result) reportRate() float64 { return float64(a.reports) / float64(a.turns) }
+
 // pool adds up the results of several seeds.
 func pool(first, seeds int, one func(seed uint64) result) result {
 	results := make([]result, seeds)
@@ -216,9 +229,10 @@
 
 // measure returns the tables and the targets that the judge misses.
 func measure(first, seeds, hours int) (string, []string) {
-	var out strings.Builder
+	var out, reports strings.Builder
 	var misses []string
 	fmt.Fprintf(&out, "## One fault in each service, otherwise quiet (seeds %d to %d, 2 virtual minutes each)\n\n%s", first, first+seeds-1, header)
+	var quietly result
 	for _, p := range policies {
 		for i := range faults {
 			f := &faults[i]
@@ -226,6 +240,7 @@
 			out.WriteString(r.row(p.name, f.name))
 			if p.name == policies[0].name {
 				misses = append(misses, r.misses("quiet", targeted(f.name)...)...)
+				quietly.reports, quietly.turns = quietly.reports+r.reports, quietly.turns+r.turns
 			}
 		}
 	}
@@ -237,8 +252,11 @@
 		}
 		if p.name == policies[0].name {
 			misses = append(misses, r.misses("disturbed", faults[1].name, faults[2].name)...)
+			fmt.Fprintf(&reports, "\n## Reports\n\nReports of a guard on one service, which would be 1 each second: %.2f/s in the quiet runs and %.2f/s in the disturbed ones.\n",
+				quietly.reportRate(), r.reportRate())
 		}
 	}
+	out.WriteString(reports.String())
 	return out.String(), misses
 }
 
--- a/health/policy_test.go
+++ b/health/policy_test.go
@@ -11,6 +11,8 @@
 	judges      [guardCount]*health.Judge
 	aggregators [serviceCount]*health.Aggregator
 	reported    [guardCount][serviceCount]time.Duration
+	// reports counts the reports sent, turns the seconds in which one might have been.
+	reports, turns int
 }
 
 func newJudgePolicy() policy {
@@ -34,9 +36,14 @@
 		name := serviceName(s)
 		counters := j.Counters(name)
 		due := now-p.reported[guard][s] >= health.ReportInterval || j.NeedsBaseline(name)
-		if len(counters) == 0 || !sent || !due {
+		if len(counters) == 0 || !sent {
 			continue
 		}
+		p.turns++
+		if !due {
+			continue
+		}
+		p.reports++
 		p.reported[guard][s] = now
 		baseline := a.Report(now, backendName(guard), 1, counters)
 		if received {
--- /dev/null
+++ b/observe/observer_test.go
@@ -0,0 +1,163 @@
+package observe
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/ejection"
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+	"github.com/jackdawlane/jackdawlane/guard"
+	"github.com/jackdawlane/jackdawlane/membership"
+	"github.com/jackdawlane/jackdawlane/telemetry"
+)
+
+// memoryStore holds one object.
+type memoryStore struct {
+	data    []byte
+	version int
+}
+
+func (s *memoryStore) Get(context.Context, string) ([]byte, string, error) {
+	if s.version == 0 {
+		return nil, "", nil
+	}
+	return s.data, fmt.Sprint(s.version), nil
+}
+
+func (s *memoryStore) Put(_ context.Context, _ string, data []byte, _ string) error {
+	s.data = data
+	s.version++
+	return nil
+}
+
+// fixture is an observer whose Run is replaced by direct calls and a set clock.
+type fixture struct {
+	*Observer
+	now     time.Duration
+	store   memoryStore
+	own     []membership.Backend
+	view    *membership.View
+	metrics *telemetry.Metrics
+}
+
+var background = context.Background()
+
+// newFixture returns node n1 with one of four backend servers, each at its own guard.
+func newFixture() *fixture {
+	f := &fixture{metrics: telemetry.NewMetrics()}
+	var all []membership.Backend
+	for _, n := range []string{"1", "2", "3", "4"} {
+		all = append(all, membership.Backend{
+			ID: "slot@" + n, Service: "slot", State: membership.StateReady, Guard: membership.Guard{NodeID: "n" + n},
+		})
+	}
+	f.own, f.view = all[:1], membership.NewView(all)
+	f.Observer = New(Config{
+		NodeID: "n1", Incarnation: 7,
+		View:     func() *membership.View { return f.view },
+		Floor:    func(string) int { return 2 },
+		Backends: func() []membership.Backend { return f.own },
+		Store:    &f.store,
+		Times:    ejection.DefaultTimes,
+		Clock:    func() time.Duration { return f.now },
+		Metrics:  f.metrics,
+		Logger:   log.New(io.Discard),
+	})
+	return f
+}
+
+func (f *fixture) ejected(t *testing.T) *service {
+	t.Helper()
+	f.follow(f.now)
+	s := f.service(f.now, "slot")
+	assert.NilError(t, s.coordinator.Eject(background, "slot@1", f.ready("slot"), 2))
+	f.publish(f.now)
+	assert.Equal(t, f.State("slot@1"), guard.Ejected)
+	return s
+}
+
+func (f *fixture) stored(t *testing.T) int {
+	t.Helper()
+	p, err := ejection.Decode("slot", f.store.data)
+	assert.NilError(t, err)
+	return len(p.Permits)
+}
+
+// Guards against traffic waiting for the judge, and against losses nobody sees.
+func TestObserveNeverBlocksAndCountsDrops(t *testing.T) {
+	f := newFixture()
+	for range queuedDispatches + 3 {
+		f.Observe(guard.Dispatch{BackendID: "slot@1", Service: "slot"})
+	}
+	assert.Equal(t, f.metrics.Value("observe.dropped"), "3")
+}
+
+// Guards against a paused process that ejects under a lapsed permit before its
+// control goroutine has run again.
+func TestEjectionLapsesWithoutControlGoroutine(t *testing.T) {
+	f := newFixture()
+	f.ejected(t)
+	f.now += ejection.PermitLifetime
+	assert.Equal(t, f.State("slot@1"), guard.Healthy)
+	assert.Equal(t, f.Announced("slot@1"), guard.Healthy)
+}
+
+// Guards against an ejection that is enforced below the floor.
+func TestEjectionIsIgnoredBelowFloor(t *testing.T) {
+	f := newFixture()
+	f.ejected(t)
+	f.view = membership.NewView(f.view.Backends("slot")[:2])
+	assert.Equal(t, f.State("slot@1"), guard.Healthy)
+}
+
+// Guards against permits that count against the floor after their backend server has gone.
+func TestPermitIsReleasedWithItsBackend(t *testing.T) {
+	f := newFixture()
+	s := f.ejected(t)
+	f.own = nil
+	f.follow(f.now)
+	assert.NilError(t, f.callStore(background, s, s.permits.releases, nil))
+	assert.Equal(t, f.stored(t), 0)
+}
+
+// Guards against permits that a planned stop leaves behind.
+func TestReleaseOnPlannedStop(t *testing.T) {
+	f := newFixture()
+	f.ejected(t)
+	ctx, cancel := context.WithCancel(background)
+	defer cancel()
+	go f.Run(ctx)
+	f.Release(ctx)
+	assert.Equal(t, f.stored(t), 0)
+}
+
+// Guards against an empty baseline, which makes a fault of the whole service
+// look like that of one backend server.
+func TestAggregatorNeedsHalfOfTheGuards(t *testing.T) {
+	f := newFixture()
+	ctx, cancel := context.WithCancel(background)
+	defer cancel()
+	go f.Run(ctx)
+	report := func(node string) connect.Code {
+		_, err := f.ReportService(ctx, &pb.ReportServiceRequest{Service: "slot", NodeId: node, Incarnation: 1})
+		return connect.CodeOf(err)
+	}
+	assert.Equal(t, report("n2"), connect.CodeFailedPrecondition)
+	assert.Equal(t, report("n3"), connect.CodeFailedPrecondition)
+	_, err := f.ReportService(ctx, &pb.ReportServiceRequest{Service: "slot", NodeId: "n4", Incarnation: 1})
+	assert.NilError(t, err)
+}
+
+// Guards against a record that changes with each short suspicion.
+func TestShortSuspicionIsNotAnnounced(t *testing.T) {
+	b := &backend{suspect: true, suspectSince: time.Second}
+	assert.Equal(t, b.announcement(announceSuspect), guard.Healthy)
+	assert.Equal(t, b.announcement(announceSuspect+time.Second), guard.Suspect)
+}
--- a/observe/permits.go
+++ b/observe/permits.go
@@ -127,7 +127,7 @@
 		o.config.Metrics.Add("observe.permit_errors", 1)
 	}
 	if text != "" && text != s.permits.refused {
-		o.config.Logger.Warn("permits not updated", "service", s.name, "err", err)
+		o.config.Logger.Warn("permits not updated", "service", s.name, "err", text)
 	}
 	s.permits.refused = text
 }
@@ -151,7 +151,7 @@
 	}
 	for _, s := range <-all {
 		if err := o.callStore(ctx, s, s.coordinator.Holds(), nil); err != nil {
-			o.config.Logger.Warn("permits not released; they lapse", "service", s.name, "err", err)
+			o.config.Logger.Warn("permits not released; they lapse", "service", s.name, "err", err.Error())
 		}
 	}
 }
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -157,10 +157,7 @@
 	for _, l := range f.loads {
 		l.stop()
 	}
-	for _, w := range f.watchers {
-		close(w.end)
-		w.wait.Wait()
-	}
+	f.stopWatchers()
 	for _, p := range f.processes {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
--- a/scenarios/health_test.go
+++ b/scenarios/health_test.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +15,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/standin/backend"
 )
 
 // nodeMetrics are the metrics that the scenarios read.
@@ -108,12 +112,16 @@
 
 // watcher runs beside a script and remembers what it saw wrong.
 type watcher struct {
-	end    chan struct{}
-	wait   sync.WaitGroup
+	end  chan struct{}
+	wait sync.WaitGroup
+
+	mu     sync.Mutex
 	broken string
 }
 
 func (w *watcher) note(left, floor int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if left < floor && w.broken == "" {
 		w.broken = fmt.Sprintf("%d backend servers not ejected, the floor is %d", left, floor)
 	}
@@ -121,16 +129,30 @@
 
 // floorKept: floor-kept ends the watches on floors and checks them.
 func (f *fleet) floorKept(ts *testscript.TestScript, _ []string) {
+	watchers := f.watchers
+	f.stopWatchers()
+	checkFloors(ts, watchers)
+}
+
+func (f *fleet) stopWatchers() {
 	for _, w := range f.watchers {
 		close(w.end)
 		w.wait.Wait()
-		if w.broken != "" {
-			ts.Fatalf("%s", w.broken)
-		}
 	}
 	f.watchers = nil
 }
 
+func checkFloors(ts *testscript.TestScript, watchers []*watcher) {
+	for _, w := range watchers {
+		w.mu.Lock()
+		broken := w.broken
+		w.mu.Unlock()
+		if broken != "" {
+			ts.Fatalf("%s", broken)
+		}
+	}
+}
+
 // serves: serves ENTRY METHOD PATH N PERCENT waits until PERCENT of N requests
 // in a row, sent one after the other, are answered with success.
 func (f *fleet) serves(ts *testscript.TestScript, args []string) {
@@ -151,3 +173,42 @@
 		return good*100 >= percent*n
 	})
 }
+
+// refused: refused NODE[,NODE ...] TEXT waits until a node has logged that it
+// could not update permits, with TEXT in the reason.
+func (f *fleet) refused(ts *testscript.TestScript, args []string) {
+	waitFor(ts, "refused "+strings.Join(args, " "), func() bool {
+		checkFloors(ts, f.watchers)
+		return slices.ContainsFunc(strings.Split(args[0], ","), func(name string) bool {
+			data, err := os.ReadFile(filepath.Join(f.directory, name+".log"))
+			check(ts, err)
+			return slices.ContainsFunc(strings.Split(string(data), "\n"), func(line string) bool {
+				return strings.Contains(line, "permits not updated") && strings.Contains(line, args[1])
+			})
+		})
+	})
+}
+
+// ejections: ejections NODE[,NODE ...] SERVICE N waits until N backend servers are ejected.
+func (f *fleet) ejections(ts *testscript.TestScript, args []string) {
+	waitFor(ts, "ejections "+strings.Join(args, " "), func() bool {
+		checkFloors(ts, f.watchers)
+		return fmt.Sprint(f.ejected(args[1], strings.Split(args[0], ","))) == args[2]
+	})
+}
+
+// work: work BACKEND N waits until a backend server has done N more pieces of work.
+func (f *fleet) work(ts *testscript.TestScript, args []string) {
+	n, err := strconv.Atoi(args[1])
+	check(ts, err)
+	end := f.stats(ts, args[0]).Done + n
+	waitFor(ts, "work "+strings.Join(args, " "), func() bool { return f.stats(ts, args[0]).Done >= end })
+}
+
+func (f *fleet) stats(ts *testscript.TestScript, name string) (stats backend.Stats) {
+	res, err := http.Get("http://" + f.process(ts, name).address["backend"] + "/stats")
+	check(ts, err)
+	defer res.Body.Close()
+	check(ts, json.NewDecoder(res.Body).Decode(&stats))
+	return stats
+}
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -57,6 +57,9 @@
 			"floor":      withFleet((*fleet).watchFloor),
 			"floor-kept": withFleet((*fleet).floorKept),
 			"serves":     withFleet((*fleet).serves),
+			"refused":    withFleet((*fleet).refused),
+			"ejections":  withFleet((*fleet).ejections),
+			"work":       withFleet((*fleet).work),
 		},
 	})
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -50,6 +50,7 @@
 		{"host name", "address = 127.0.0.1:7000", "address = localhost:7000", "an IP number and port"},
 		{"missing key", "id = n1\n", "", "[node] id is missing"},
 		{"same port twice", "127.0.0.1:7002", "127.0.0.1:7001", "used twice"},
+		{"permit shorter than two store calls", "timeout = 2s", "timeout = 8s", "[ejection] permit_lifetime"},
 		{"unknown section", "[store]", "[sotre]", "unknown key"},
 	}
 	for _, test := range tests {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -34,6 +34,14 @@
 // Add adds delta to a counter.
 func (m *Metrics) Add(name string, delta int64) { m.root.Add(name, delta) }
 
+// Value returns the current value of a metric as JSON; it is empty when there is none.
+func (m *Metrics) Value(name string) string {
+	if v := m.root.Get(name); v != nil {
+		return v.String()
+	}
+	return ""
+}
+
 // Publish shows the current value of f under name.
 func (m *Metrics) Publish(name string, f func() any) { m.root.Set(name, expvar.Func(f)) }
 
