--- a/health/preamble_test.go
+++ b/health/preamble_test.go
@@ -10,4 +10,6 @@
 
 The disturbed runs repeat every 10 minutes, on a random service: a tenfold demand swing within 2 s with shedding and threefold latency, a threefold slowdown for 3 minutes, 40 % errors for 30 s, a route that fails everywhere, an organisation whose requests fail everywhere, and one-way cuts of work, reports and replies. In each 10 minutes one random backend server is bad for 100 s, at a random moment.
 
+The worst detection of a backend server that fails half of its work (5.86 s, disturbed) was traced: its fault began 2 s after the end of 40 % errors in the same service, while the long window of the baseline still expected such a failure rate. The longest detection of one that is 5 times slower (19.32 s) began 6 s after the time slot of the demand swing with threefold latency; whether it was the same service was not traced.
+
 `
