Decide in package idempotency which attempt holds a key

A shard of keys is a log of numbered segments in the object store. The first to create a number wins, and a written segment counts only if the floor, read afterwards, is not above it. Without that second check a paused owner can create a number again that was deleted meanwhile.

The calls ClaimKey and SettleKey are defined; no node serves them yet.

--- a/control/server.go
+++ b/control/server.go
@@ -37,6 +37,12 @@
 	ReportService(context.Context, *pb.ReportServiceRequest) (*pb.ReportServiceResponse, error)
 }
 
+// Keys decides about idempotency keys.
+type Keys interface {
+	ClaimKey(context.Context, *pb.ClaimKeyRequest) (*pb.ClaimKeyResponse, error)
+	SettleKey(context.Context, *pb.SettleKeyRequest) (*pb.SettleKeyResponse, error)
+}
+
 // ConfigSource holds the configuration that this node can pass on.
 type ConfigSource interface {
 	// Head returns the version and the encoded head, nil when there is none yet.
@@ -52,6 +58,7 @@
 	Config   ConfigSource
 	Attempts Attempts
 	Reports  Reports
+	Keys     Keys
 	// Build is the version of the program that Status reports.
 	Build string
 }
@@ -148,3 +155,17 @@
 	}
 	return h.Reports.ReportService(ctx, r)
 }
+
+func (h *handler) ClaimKey(ctx context.Context, r *pb.ClaimKeyRequest) (*pb.ClaimKeyResponse, error) {
+	if h.Keys == nil {
+		return nil, unimplemented("ClaimKey")
+	}
+	return h.Keys.ClaimKey(ctx, r)
+}
+
+func (h *handler) SettleKey(ctx context.Context, r *pb.SettleKeyRequest) (*pb.SettleKeyResponse, error) {
+	if h.Keys == nil {
+		return nil, unimplemented("SettleKey")
+	}
+	return h.Keys.SettleKey(ctx, r)
+}
--- a/gen/jackdawlane/v1/jackdawlanev1connect/control.connect.go
+++ b/gen/jackdawlane/v1/jackdawlanev1connect/control.connect.go
@@ -49,6 +49,11 @@
 	// ControlServiceReportServiceProcedure is the fully-qualified name of the ControlService's
 	// ReportService RPC.
 	ControlServiceReportServiceProcedure = "/jackdawlane.v1.ControlService/ReportService"
+	// ControlServiceClaimKeyProcedure is the fully-qualified name of the ControlService's ClaimKey RPC.
+	ControlServiceClaimKeyProcedure = "/jackdawlane.v1.ControlService/ClaimKey"
+	// ControlServiceSettleKeyProcedure is the fully-qualified name of the ControlService's SettleKey
+	// RPC.
+	ControlServiceSettleKeyProcedure = "/jackdawlane.v1.ControlService/SettleKey"
 	// ControlServiceStatusProcedure is the fully-qualified name of the ControlService's Status RPC.
 	ControlServiceStatusProcedure = "/jackdawlane.v1.ControlService/Status"
 )
@@ -65,6 +70,10 @@
 	FetchAnswer(context.Context, *v1.FetchAnswerRequest) (*v1.FetchAnswerResponse, error)
 	// ReportService exchanges work counters for the pooled baseline of a service.
 	ReportService(context.Context, *v1.ReportServiceRequest) (*v1.ReportServiceResponse, error)
+	// ClaimKey claims an idempotency key for an attempt, at the owner of its shard.
+	ClaimKey(context.Context, *v1.ClaimKeyRequest) (*v1.ClaimKeyResponse, error)
+	// SettleKey records what became of the attempt that holds a key.
+	SettleKey(context.Context, *v1.SettleKeyRequest) (*v1.SettleKeyResponse, error)
 	// Status describes the node.
 	Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error)
 }
@@ -110,6 +119,18 @@
 			connect.WithSchema(controlServiceMethods.ByName("ReportService")),
 			connect.WithClientOptions(opts...),
 		),
+		claimKey: connect.NewClient[v1.ClaimKeyRequest, v1.ClaimKeyResponse](
+			httpClient,
+			baseURL+ControlServiceClaimKeyProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("ClaimKey")),
+			connect.WithClientOptions(opts...),
+		),
+		settleKey: connect.NewClient[v1.SettleKeyRequest, v1.SettleKeyResponse](
+			httpClient,
+			baseURL+ControlServiceSettleKeyProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("SettleKey")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[v1.StatusRequest, v1.StatusResponse](
 			httpClient,
 			baseURL+ControlServiceStatusProcedure,
@@ -126,6 +147,8 @@
 	resolveAttempt *connect.Client[v1.ResolveAttemptRequest, v1.ResolveAttemptResponse]
 	fetchAnswer    *connect.Client[v1.FetchAnswerRequest, v1.FetchAnswerResponse]
 	reportService  *connect.Client[v1.ReportServiceRequest, v1.ReportServiceResponse]
+	claimKey       *connect.Client[v1.ClaimKeyRequest, v1.ClaimKeyResponse]
+	settleKey      *connect.Client[v1.SettleKeyRequest, v1.SettleKeyResponse]
 	status         *connect.Client[v1.StatusRequest, v1.StatusResponse]
 }
 
@@ -174,6 +197,24 @@
 	return nil, err
 }
 
+// ClaimKey calls jackdawlane.v1.ControlService.ClaimKey.
+func (c *controlServiceClient) ClaimKey(ctx context.Context, req *v1.ClaimKeyRequest) (*v1.ClaimKeyResponse, error) {
+	response, err := c.claimKey.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// SettleKey calls jackdawlane.v1.ControlService.SettleKey.
+func (c *controlServiceClient) SettleKey(ctx context.Context, req *v1.SettleKeyRequest) (*v1.SettleKeyResponse, error) {
+	response, err := c.settleKey.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Status calls jackdawlane.v1.ControlService.Status.
 func (c *controlServiceClient) Status(ctx context.Context, req *v1.StatusRequest) (*v1.StatusResponse, error) {
 	response, err := c.status.CallUnary(ctx, connect.NewRequest(req))
@@ -195,6 +236,10 @@
 	FetchAnswer(context.Context, *v1.FetchAnswerRequest) (*v1.FetchAnswerResponse, error)
 	// ReportService exchanges work counters for the pooled baseline of a service.
 	ReportService(context.Context, *v1.ReportServiceRequest) (*v1.ReportServiceResponse, error)
+	// ClaimKey claims an idempotency key for an attempt, at the owner of its shard.
+	ClaimKey(context.Context, *v1.ClaimKeyRequest) (*v1.ClaimKeyResponse, error)
+	// SettleKey records what became of the attempt that holds a key.
+	SettleKey(context.Context, *v1.SettleKeyRequest) (*v1.SettleKeyResponse, error)
 	// Status describes the node.
 	Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error)
 }
@@ -236,6 +281,18 @@
 		connect.WithSchema(controlServiceMethods.ByName("ReportService")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceClaimKeyHandler := connect.NewUnaryHandlerSimple(
+		ControlServiceClaimKeyProcedure,
+		svc.ClaimKey,
+		connect.WithSchema(controlServiceMethods.ByName("ClaimKey")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlServiceSettleKeyHandler := connect.NewUnaryHandlerSimple(
+		ControlServiceSettleKeyProcedure,
+		svc.SettleKey,
+		connect.WithSchema(controlServiceMethods.ByName("SettleKey")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlServiceStatusHandler := connect.NewUnaryHandlerSimple(
 		ControlServiceStatusProcedure,
 		svc.Status,
@@ -254,6 +311,10 @@
 			controlServiceFetchAnswerHandler.ServeHTTP(w, r)
 		case ControlServiceReportServiceProcedure:
 			controlServiceReportServiceHandler.ServeHTTP(w, r)
+		case ControlServiceClaimKeyProcedure:
+			controlServiceClaimKeyHandler.ServeHTTP(w, r)
+		case ControlServiceSettleKeyProcedure:
+			controlServiceSettleKeyHandler.ServeHTTP(w, r)
 		case ControlServiceStatusProcedure:
 			controlServiceStatusHandler.ServeHTTP(w, r)
 		default:
@@ -285,6 +346,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jackdawlane.v1.ControlService.ReportService is not implemented"))
 }
 
+func (UnimplementedControlServiceHandler) ClaimKey(context.Context, *v1.ClaimKeyRequest) (*v1.ClaimKeyResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jackdawlane.v1.ControlService.ClaimKey is not implemented"))
+}
+
+func (UnimplementedControlServiceHandler) SettleKey(context.Context, *v1.SettleKeyRequest) (*v1.SettleKeyResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jackdawlane.v1.ControlService.SettleKey is not implemented"))
+}
+
 func (UnimplementedControlServiceHandler) Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jackdawlane.v1.ControlService.Status is not implemented"))
 }
--- /dev/null
+++ b/idempotency/shard.go
@@ -0,0 +1,272 @@
+package idempotency
+
+import (
+	"time"
+
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+)
+
+const (
+	// maxRecords keeps a segment of records of about 150 B below the 1 MB of the store.
+	maxRecords = 4000
+	// markInterval bounds the time that is lost to the count at a takeover, in a
+	// shard that holds keys and takes no claims.
+	markInterval = time.Minute
+)
+
+// Request is a claim, or a settlement when Attempt is nil.
+type Request struct {
+	Key         Key
+	Fingerprint uint64
+	Attempt     *pb.KeyAttempt
+	// Replaces is an attempt that the claimant proved not run; it may be empty.
+	Replaces string
+	// Settles is the attempt that a settlement is about.
+	Settles string
+	// Ran says that the settled attempt ran; otherwise it is proved not run.
+	Ran bool
+}
+
+// Holder is the attempt that holds a key.
+type Holder struct {
+	Fingerprint uint64
+	Attempt     *pb.KeyAttempt
+	Ran         bool
+	count       time.Duration
+}
+
+// Answer is the decision on a request. A nil Holder means that a claim holds
+// the key now, or that a settlement is done.
+type Answer struct {
+	Request *Request
+	Holder  *Holder
+}
+
+// Shard is one owner's picture of a shard. It is not safe for concurrent use.
+type Shard struct {
+	incarnation uint64
+	keep        time.Duration
+	// next is the number of the segment to read or to create.
+	next     uint64
+	caughtUp bool
+	// base is the count of the last segment, and since the owner's clock when it
+	// learned that the segment exists.
+	base, since time.Duration
+	holders     map[Key]Holder
+	claims      queue[Key]
+	segments    queue[uint64]
+	pending     []*Request
+	writing     *batch
+}
+
+// batch is a segment that is being written and the answers that depend on it.
+type batch struct {
+	segment *pb.KeySegment
+	waiting []*Request
+}
+
+// NewShard returns a shard that has read nothing. Keep is the time a claim is kept.
+func NewShard(incarnation uint64, keep time.Duration) *Shard {
+	s := &Shard{incarnation: incarnation, keep: keep}
+	s.Restart(0)
+	return s
+}
+
+// Restart forgets what was read, to read again from the floor. Requests of a
+// segment that was not confirmed are decided again.
+func (s *Shard) Restart(floor uint64) {
+	s.overtaken()
+	s.next = floor
+	s.caughtUp = false
+	s.base, s.since = 0, 0
+	s.holders = make(map[Key]Holder)
+	s.claims = queue[Key]{}
+	s.segments = queue[uint64]{}
+}
+
+// Next returns the number of the segment to read or create next.
+func (s *Shard) Next() uint64 { return s.next }
+
+// CaughtUp says that no segment of the number Next exists.
+func (s *Shard) CaughtUp() { s.caughtUp = true }
+
+// Ready reports whether requests can be decided.
+func (s *Shard) Ready() bool { return s.caughtUp && s.writing == nil }
+
+// Read takes the segment of the number Next. It reports true, and leaves the
+// segment to Confirm, when it is the one that this owner was writing.
+func (s *Shard) Read(segment *pb.KeySegment, now time.Duration) bool {
+	if s.writing != nil && s.own(segment) {
+		return true
+	}
+	s.overtaken()
+	s.caughtUp = false
+	s.apply(segment, now)
+	return false
+}
+
+func (s *Shard) own(segment *pb.KeySegment) bool {
+	w := s.writing.segment
+	return segment.GetIncarnation() == w.GetIncarnation() && segment.GetNonce() == w.GetNonce()
+}
+
+// overtaken puts the requests of the unconfirmed segment back, to be decided again.
+func (s *Shard) overtaken() {
+	if s.writing == nil {
+		return
+	}
+	s.pending = append(s.writing.waiting, s.pending...)
+	s.writing = nil
+}
+
+// Add queues a request for the next segment.
+func (s *Shard) Add(r *Request) { s.pending = append(s.pending, r) }
+
+// Drop returns the queued requests without a decision.
+func (s *Shard) Drop() []*Request {
+	dropped := s.pending
+	s.pending = nil
+	return dropped
+}
+
+// Begin decides the queued requests. Answers that rest on confirmed segments
+// alone are returned at once. The others follow from Confirm, when the segment,
+// which is nil if there is nothing to write, was created under the number Next.
+func (s *Shard) Begin(now time.Duration, nonce uint64) (*pb.KeySegment, []Answer) {
+	if !s.Ready() {
+		return nil, nil
+	}
+	count := s.count(now)
+	s.expire(count)
+	segment := &pb.KeySegment{Incarnation: s.incarnation, Nonce: nonce, CountMs: uint64(count / time.Millisecond)}
+	b := &batch{segment: segment}
+	answers := s.decideAll(b)
+	mark := len(s.holders) > 0 && now-s.since >= markInterval
+	if len(segment.Records) == 0 && !mark {
+		return nil, answers
+	}
+	s.writing = b
+	return segment, answers
+}
+
+// decideAll adds the records that must be written to b. A request on a key that
+// the same segment changes stays queued, because its decision rests on that.
+func (s *Shard) decideAll(b *batch) []Answer {
+	var answers []Answer
+	var rest []*Request
+	changed := make(map[Key]bool)
+	for _, r := range s.pending {
+		if changed[r.Key] || len(b.waiting) == maxRecords {
+			rest = append(rest, r)
+			continue
+		}
+		record, answer := s.decide(r)
+		if record == nil {
+			answers = append(answers, answer)
+			continue
+		}
+		changed[r.Key] = true
+		b.segment.Records = append(b.segment.Records, record)
+		b.waiting = append(b.waiting, r)
+	}
+	s.pending = rest
+	return answers
+}
+
+// decide returns the record that grants the request, or nil and the answer when
+// nothing has to be written.
+func (s *Shard) decide(r *Request) (*pb.KeyRecord, Answer) {
+	h, held := s.holders[r.Key]
+	id := h.Attempt.GetAttemptId()
+	if r.Attempt == nil {
+		if !held || h.Ran || id != r.Settles {
+			return nil, Answer{Request: r}
+		}
+		return &pb.KeyRecord{Key: r.Key[:], Ran: r.Ran}, Answer{}
+	}
+	if held && id == r.Attempt.GetAttemptId() {
+		return nil, Answer{Request: r}
+	}
+	if held && (h.Ran || id != r.Replaces) {
+		return nil, Answer{Request: r, Holder: &h}
+	}
+	return &pb.KeyRecord{Key: r.Key[:], Fingerprint: r.Fingerprint, Attempt: r.Attempt}, Answer{}
+}
+
+// Confirm takes the segment that was being written as part of the log and
+// returns the answers that depended on it. The caller must have read a floor not
+// above Next after it learned that the segment exists.
+func (s *Shard) Confirm(now time.Duration) []Answer {
+	b := s.writing
+	s.writing = nil
+	s.apply(b.segment, now)
+	var answers []Answer
+	for _, r := range b.waiting {
+		answers = append(answers, Answer{Request: r})
+	}
+	return answers
+}
+
+// Holder returns the holder of a key in the segments read so far, nil when there is none.
+func (s *Shard) Holder(k Key) *Holder {
+	h, ok := s.holders[k]
+	if !ok {
+		return nil
+	}
+	return &h
+}
+
+// Keys returns the number of keys held.
+func (s *Shard) Keys() int { return len(s.holders) }
+
+// Floor drops what is older than the time to keep and returns the number below
+// which segments are no longer needed. The last segment always is: it holds the count.
+func (s *Shard) Floor(now time.Duration) uint64 {
+	count := s.count(now)
+	s.expire(count)
+	for len(s.segments.items) > 1 && s.segments.due(count-s.keep) {
+		s.segments.pop()
+	}
+	if len(s.segments.items) == 0 {
+		return s.next
+	}
+	return s.segments.items[0].value
+}
+
+// count returns the count of time of the shard.
+func (s *Shard) count(now time.Duration) time.Duration { return s.base + now - s.since }
+
+func (s *Shard) apply(segment *pb.KeySegment, now time.Duration) {
+	s.base = time.Duration(segment.GetCountMs()) * time.Millisecond
+	s.since = now
+	for _, r := range segment.GetRecords() {
+		s.applyRecord(r)
+	}
+	s.segments.push(s.next, s.base)
+	s.next++
+}
+
+func (s *Shard) applyRecord(r *pb.KeyRecord) {
+	k := Key(r.GetKey())
+	h, held := s.holders[k]
+	switch {
+	case r.GetAttempt() != nil:
+		s.holders[k] = Holder{Fingerprint: r.GetFingerprint(), Attempt: r.GetAttempt(), count: s.base}
+		s.claims.push(k, s.base)
+	case held && r.GetRan():
+		h.Ran = true
+		s.holders[k] = h
+	case held:
+		delete(s.holders, k)
+	}
+}
+
+func (s *Shard) expire(count time.Duration) {
+	for s.claims.due(count - s.keep) {
+		k := s.claims.pop()
+		// A later claim may hold the key by now.
+		if h, ok := s.holders[k]; ok && h.count <= count-s.keep {
+			delete(s.holders, k)
+		}
+	}
+}
