Run work with an idempotency key once, wherever it enters the fleet

The new package register runs the owners; the store decides between them. A key that another attempt holds is resolved at that attempt's guard. The settings section [keys] holds the retention and the batch interval.

A claim that seems to be granted already is written again. Without this, an owner that had read floor 0 and was paused granted a key from a segment of a deleted number (TestDeletedNumberGrantsNothing failed before the change).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -39,6 +39,9 @@
 func (t *task) attempt(w http.ResponseWriter, r *http.Request, b membership.Backend, force bool) *refusal {
 	known := t.entry.readings.known(b.Guard)
 	y := &try{task: t, id: hop.NewAttemptID(known), known: known, backend: b, w: w, r: r}
+	if proceed, refused := y.claim(); !proceed {
+		return refused
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(hopGrace))
 	defer cancel()
 	out, sending := exchange.NewRequest(ctx, r, b.Guard.HopAddress, t.body.reader())
@@ -163,10 +166,7 @@
 	case state == attempt.NotRun:
 		return notRun(http.StatusServiceUnavailable, hop.ReasonAnswerLost, "the guard never dispatched the work")
 	case answer != nil:
-		reply := exchange.NewReply(y.w)
-		sendHead(reply, answer.Status, answer.Header.Clone(), answer.Trailer)
-		y.w.Write(answer.Body)
-		reply.Trailer(answer.Trailer)
+		y.deliverRetained(answer)
 		return nil
 	}
 	return unknown(y.lostReason(), "the answer was lost and the work may have run")
@@ -197,17 +197,22 @@
 
 // resolve asks the guard about the attempt and fetches a retained answer.
 func (y *try) resolve() (attempt.State, *attempt.Answer) {
+	return y.resolveAt(y.backend.Guard, y.id)
+}
+
+// resolveAt asks a guard about an attempt, which may be that of another request.
+func (y *try) resolveAt(g membership.Guard, id string) (attempt.State, *attempt.Answer) {
 	ctx, cancel := context.WithDeadline(y.r.Context(), y.deadline.Add(resolveTimeout))
 	defer cancel()
 	resolver := y.entry.config.Resolver
-	state, err := resolver.Resolve(ctx, y.backend.Guard, y.id, time.Until(y.deadline)+hopGrace)
+	state, err := resolver.Resolve(ctx, g, id, time.Until(y.deadline)+hopGrace)
 	if err != nil {
 		return attempt.Unknown, nil
 	}
 	if state != attempt.Answered {
 		return state, nil
 	}
-	a, err := resolver.FetchAnswer(ctx, y.backend.Guard, y.id)
+	a, err := resolver.FetchAnswer(ctx, g, id)
 	if err != nil {
 		return attempt.Unknown, nil
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,8 @@
 	// Budget may be nil: then 10 % of requests may be retried.
 	Budget Budget
 	Limits settings.Limits
+	// Keys decides about requests with an idempotency key. It may be nil when none come.
+	Keys Keys
 }
 
 // Entry is the http.Handler of the traffic address.
@@ -80,10 +82,18 @@
 
 // ServeHTTP serves one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
+	if r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, keyStatusPath) {
+		e.serveKeyStatus(w, r)
+		return
+	}
 	t, refused := e.accept(r)
 	if refused == nil {
 		t.body, refused = readBody(w, r, e.config.Limits.BodyStallTimeout)
 	}
+	if refused == nil {
+		t.key, refused = t.useKey(r, received)
+	}
 	if refused != nil {
 		refused.write(w)
 		return
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -29,6 +29,7 @@
 	"github.com/jackdawlane/jackdawlane/route"
 	"github.com/jackdawlane/jackdawlane/settings"
 	"github.com/jackdawlane/jackdawlane/standin/link"
+	store "github.com/jackdawlane/jackdawlane/standin/objectstore"
 )
 
 const (
@@ -78,6 +79,8 @@
 	picked []string
 	// first is the address of the backend server to choose when it is a candidate.
 	first string
+	// store holds the idempotency keys.
+	store *store.Server
 	// frozen replaces the current view.
 	frozen *membership.View
 }
@@ -219,6 +222,7 @@
 		Resolver: entry.NewControlResolver(&http.Client{}),
 		Picker:   f,
 		Limits:   settings.Limits{MaxHeaderBytes: 8 << 10, BodyStallTimeout: 300 * time.Millisecond},
+		Keys:     newLocalKeys(t, f),
 	})
 	l := listen(t)
 	serve(t, e.Server(), l)
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -21,6 +21,8 @@
 	detail  string
 	// guardDown is set when the guard could not be reached at all.
 	guardDown bool
+	// final is set when another attempt would be refused for the same reason.
+	final bool
 }
 
 func notRun(status int, reason hop.Reason, detail string) *refusal {
@@ -35,6 +37,12 @@
 	return &refusal{status: status, outcome: hop.OutcomeUnknown, reason: reason, detail: detail}
 }
 
+// ended returns the refusal as one that no further attempt follows.
+func (f *refusal) ended() *refusal {
+	f.final = true
+	return f
+}
+
 func (f *refusal) write(w http.ResponseWriter) {
 	body, _ := json.Marshal(map[string]string{
 		"outcome": string(f.outcome),
--- a/entry/task.go
+++ b/entry/task.go
@@ -23,6 +23,8 @@
 	version  uint64
 	deadline time.Time
 	body     *body
+	// key is nil for a request without an idempotency key.
+	key *keyUse
 }
 
 // run makes attempts until the caller has a reply.
@@ -63,6 +65,7 @@
 		}
 		allSuspect = allSuspect && last.reason == hop.ReasonSuspect
 	}
+	t.settleKey(last)
 	if last != nil {
 		last.write(w)
 	}
@@ -70,7 +73,7 @@
 
 // mayRetry reports whether the request may go to another backend server.
 func (t *task) mayRetry(ctx context.Context, f *refusal) bool {
-	if ctx.Err() != nil || !t.body.replayable() || !time.Now().Before(t.deadline) {
+	if f.final || ctx.Err() != nil || !t.body.replayable() || !time.Now().Before(t.deadline) {
 		return false
 	}
 	if f.outcome == hop.OutcomeNotRun {
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -72,6 +72,9 @@
 	ReasonBodyTooLarge   Reason = "body-too-large"
 	ReasonNotConfigured  Reason = "not-configured"
 	ReasonStaleGuardTime Reason = "stale-guard-time"
+	ReasonDuplicateKey   Reason = "duplicate-key"
+	ReasonKeyReused      Reason = "key-reused"
+	ReasonKeyRegister    Reason = "key-register-unavailable"
 )
 
 // DropProjectHeaders removes every header of the project from h.
--- a/idempotency/owner.go
+++ b/idempotency/owner.go
@@ -159,17 +159,18 @@
 			return answers
 		}
 	}
+	answers := o.shard.Answers(now)
 	if len(o.looks) > 0 {
 		o.looking, o.looks = o.looks, nil
 		o.phase = reading
-		return nil
+		return answers
 	}
 	o.goal = o.shard.Floor(now)
 	if o.listed && len(o.doomed) == 0 && o.goal > o.floor && now >= o.nextRaise {
 		o.phase = raising
 		o.nextRaise = now + raiseInterval
 	}
-	return nil
+	return answers
 }
 
 // Wait returns how long nothing is due after Next returned false, unless
--- a/idempotency/shard.go
+++ b/idempotency/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unique"
 
 	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
 )
@@ -27,14 +28,41 @@
 	Ran bool
 }
 
+// guard is what many holders have in common. It is stored once.
+type guard struct {
+	node, address string
+	incarnation   uint64
+}
+
 // Holder is the attempt that holds a key.
 type Holder struct {
 	Fingerprint uint64
-	Attempt     *pb.KeyAttempt
 	Ran         bool
+	id          string
+	guard       unique.Handle[guard]
 	count       time.Duration
 }
 
+func newHolder(r *pb.KeyRecord, count time.Duration) Holder {
+	a := r.GetAttempt()
+	g := guard{a.GetGuardNode(), a.GetControlAddress(), a.GetGuardIncarnation()}
+	return Holder{Fingerprint: r.GetFingerprint(), id: a.GetAttemptId(), guard: unique.Make(g), count: count}
+}
+
+// Attempt returns the attempt with its guard.
+func (h *Holder) Attempt() *pb.KeyAttempt {
+	g := h.guard.Value()
+	return &pb.KeyAttempt{GuardNode: g.node, ControlAddress: g.address, GuardIncarnation: g.incarnation, AttemptId: h.id}
+}
+
+// ID returns the attempt ID of the holder, empty when there is none.
+func (h *Holder) ID() string {
+	if h == nil {
+		return ""
+	}
+	return h.id
+}
+
 // Answer is the decision on a request. A nil Holder means that a claim holds
 // the key now, or that a settlement is done.
 type Answer struct {
@@ -149,6 +177,26 @@
 	return segment, answers
 }
 
+// Answers decides the queued requests that need no write. The others stay queued.
+func (s *Shard) Answers(now time.Duration) []Answer {
+	if !s.Ready() {
+		return nil
+	}
+	s.expire(s.count(now))
+	var answers []Answer
+	var rest []*Request
+	for _, r := range s.pending {
+		record, answer := s.decide(r)
+		if record != nil {
+			rest = append(rest, r)
+			continue
+		}
+		answers = append(answers, answer)
+	}
+	s.pending = rest
+	return answers
+}
+
 // decideAll adds the records that must be written to b. A request on a key that
 // the same segment changes stays queued, because its decision rests on that.
 func (s *Shard) decideAll(b *batch) []Answer {
@@ -177,17 +225,16 @@
 // nothing has to be written.
 func (s *Shard) decide(r *Request) (*pb.KeyRecord, Answer) {
 	h, held := s.holders[r.Key]
-	id := h.Attempt.GetAttemptId()
 	if r.Attempt == nil {
-		if !held || h.Ran || id != r.Settles {
+		if !held || h.Ran || h.id != r.Settles {
 			return nil, Answer{Request: r}
 		}
 		return &pb.KeyRecord{Key: r.Key[:], Ran: r.Ran}, Answer{}
 	}
-	if held && id == r.Attempt.GetAttemptId() {
-		return nil, Answer{Request: r}
-	}
-	if held && (h.Ran || id != r.Replaces) {
+	// A claim that was granted before is written again: only a segment that counts
+	// shows that this picture of the log is not one of deleted numbers.
+	again := h.id == r.Attempt.GetAttemptId()
+	if held && !again && (h.Ran || h.id != r.Replaces) {
 		return nil, Answer{Request: r, Holder: &h}
 	}
 	return &pb.KeyRecord{Key: r.Key[:], Fingerprint: r.Fingerprint, Attempt: r.Attempt}, Answer{}
@@ -251,7 +298,7 @@
 	h, held := s.holders[k]
 	switch {
 	case r.GetAttempt() != nil:
-		s.holders[k] = Holder{Fingerprint: r.GetFingerprint(), Attempt: r.GetAttempt(), count: s.base}
+		s.holders[k] = newHolder(r, s.base)
 		s.claims.push(k, s.base)
 	case held && r.GetRan():
 		h.Ran = true
--- /dev/null
+++ b/node/keys.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"github.com/charmbracelet/log"
+
+	"github.com/jackdawlane/jackdawlane/objectstore"
+	"github.com/jackdawlane/jackdawlane/register"
+	"github.com/jackdawlane/jackdawlane/settings"
+)
+
+func newKeys(s settings.Settings, store *objectstore.Client, incarnation uint64, logger *log.Logger) *register.Register {
+	return register.New(register.Config{
+		Store:        store,
+		StoreTimeout: s.Store.Timeout,
+		Keys:         s.Keys,
+		Incarnation:  incarnation,
+		Logger:       logger,
+	})
+}
+
+// keyClient returns the calls of this node's entry to the register of all nodes.
+func (n *Node) keyClient() *register.Client {
+	return &register.Client{Nodes: n.syncer.LiveNodes, Node: n.client.Node}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/jackdawlane/jackdawlane/guard"
 	"github.com/jackdawlane/jackdawlane/membership"
 	"github.com/jackdawlane/jackdawlane/objectstore"
+	"github.com/jackdawlane/jackdawlane/register"
 	"github.com/jackdawlane/jackdawlane/settings"
 	"github.com/jackdawlane/jackdawlane/telemetry"
 )
@@ -40,6 +41,7 @@
 	config   *configuration
 	guard    *guard.Guard
 	entry    *entry.Entry
+	keys     *register.Register
 	stopping atomic.Bool
 }
 
@@ -66,6 +68,7 @@
 		MayAnnounce: n.mayAnnounce,
 		Limits:      attempt.DefaultLimits,
 	})
+	n.keys = newKeys(s, store, incarnation, logger)
 	n.entry = entry.New(entry.Config{
 		Region:     s.Node.Region,
 		DataCentre: s.Node.DataCentre,
@@ -73,6 +76,7 @@
 		View:       n.syncer.View,
 		Resolver:   entry.NewControlResolver(n.client.HTTPClient()),
 		Limits:     s.Limit,
+		Keys:       n.keyClient(),
 	})
 	n.publishMetrics(build)
 	return n, nil
@@ -86,6 +90,7 @@
 	n.metrics.Publish("build", func() any { return build })
 	n.metrics.Publish("config_version", func() any { return n.config.Snapshot().Version() })
 	n.metrics.Publish("backend_servers", func() any { return len(n.guard.Backends(time.Now())) })
+	n.metrics.Publish("idempotency_keys", func() any { return n.keys.Keys() })
 	n.metrics.Publish("relay", func() any { return n.syncer.IsRelay() })
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -32,6 +32,7 @@
 		Syncer:   n.syncer,
 		Config:   n.config,
 		Attempts: guard.Control{Guard: n.guard},
+		Keys:     n.keys,
 	}))
 	var all servers
 	for _, part := range []struct {
@@ -94,6 +95,7 @@
 			_ = s.Close()
 		}
 	}
+	n.keys.Close()
 	n.client.Close()
 	return errors.CombineErrors(failed, n.tracing.Shutdown(ctx))
 }
--- /dev/null
+++ b/register/register.go
@@ -0,0 +1,176 @@
+// Package register runs the owners of shards of idempotency keys on a node, and
+// calls those on other nodes.
+package register
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+
+	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+	"github.com/jackdawlane/jackdawlane/idempotency"
+	"github.com/jackdawlane/jackdawlane/settings"
+)
+
+const (
+	// maxKeys bounds the memory of a shard; see docs/measurements/keys.md.
+	maxKeys = 1 << 20
+	// maxWaiting bounds the claims that wait for the store, at two segments.
+	maxWaiting = 8000
+)
+
+// Config of a register.
+type Config struct {
+	Store Store
+	// StoreTimeout bounds one call to the store.
+	StoreTimeout time.Duration
+	Keys         settings.Keys
+	// Incarnation tells restarts of the node apart.
+	Incarnation uint64
+	Logger      *log.Logger
+}
+
+// Register owns shards while others ask for their keys. It implements control.Keys.
+type Register struct {
+	config Config
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	workers map[int]*worker
+}
+
+// New returns a register that owns no shard yet.
+func New(c Config) *Register {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Register{config: c, ctx: ctx, cancel: cancel, workers: make(map[int]*worker)}
+}
+
+// Close ends all owners.
+func (g *Register) Close() { g.cancel() }
+
+// Keys returns the number of keys in memory.
+func (g *Register) Keys() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, w := range g.workers {
+		w.mu.Lock()
+		n += w.owner.Keys()
+		w.mu.Unlock()
+	}
+	return n
+}
+
+// with calls f with the worker of a shard, which does not end meanwhile.
+func (g *Register) with(shard int, f func(*worker)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w, ok := g.workers[shard]
+	if !ok {
+		w = g.newWorker(shard)
+		g.workers[shard] = w
+		go w.run(g.ctx, func() bool { return g.release(shard, w) })
+	}
+	f(w)
+}
+
+func (g *Register) newWorker(shard int) *worker {
+	c := g.config
+	owner := idempotency.NewOwner(c.Incarnation, idempotency.Keep(c.Keys.Retention), c.Keys.BatchInterval)
+	return newWorker(newShardLog(c.Store, shard, c.StoreTimeout), owner, c.Logger)
+}
+
+// release drops a worker that nobody asked for as long as a key is kept.
+func (g *Register) release(shard int, w *worker) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w.idle() < idempotency.Keep(g.config.Keys.Retention) {
+		return false
+	}
+	delete(g.workers, shard)
+	return true
+}
+
+// ClaimKey serves the control call of the same name.
+func (g *Register) ClaimKey(ctx context.Context, r *pb.ClaimKeyRequest) (*pb.ClaimKeyResponse, error) {
+	k, err := idempotency.ParseKey(r.GetKey())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if r.GetLookOnly() {
+		d := g.decide(ctx, &idempotency.Request{Key: k}, (*idempotency.Owner).Look)
+		return response(d, pb.KeyClaim_KEY_CLAIM_FREE), nil
+	}
+	id := r.GetAttempt().GetAttemptId()
+	if id == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, idempotency.ErrMalformed)
+	}
+	var holder *idempotency.Holder
+	full := false
+	g.with(k.Shard(), func(w *worker) {
+		holder = w.holder(k)
+		full = w.full()
+	})
+	if other := holder.ID(); other != "" && other != id && other != r.GetReplaces() {
+		// Whoever held the key once can be asked about, even if another holds it by now.
+		return response(decision{holder: holder, decided: true}, pb.KeyClaim_KEY_CLAIM_FIRST), nil
+	}
+	if full {
+		return response(decision{}, pb.KeyClaim_KEY_CLAIM_FIRST), nil
+	}
+	d := g.decide(ctx, &idempotency.Request{
+		Key:         k,
+		Fingerprint: r.GetFingerprint(),
+		Attempt:     r.GetAttempt(),
+		Replaces:    r.GetReplaces(),
+	}, (*idempotency.Owner).Add)
+	return response(d, pb.KeyClaim_KEY_CLAIM_FIRST), nil
+}
+
+// decide queues a request and waits for its decision or the end of ctx.
+func (g *Register) decide(ctx context.Context, r *idempotency.Request, add func(*idempotency.Owner, *idempotency.Request)) decision {
+	var decided <-chan decision
+	g.with(r.Key.Shard(), func(w *worker) { decided = w.add(r, add) })
+	select {
+	case d := <-decided:
+		return d
+	case <-ctx.Done():
+		return decision{}
+	}
+}
+
+// response gives unheld as the claim when nobody else holds the key.
+func response(d decision, unheld pb.KeyClaim) *pb.ClaimKeyResponse {
+	switch {
+	case !d.decided:
+		return &pb.ClaimKeyResponse{Claim: pb.KeyClaim_KEY_CLAIM_UNAVAILABLE}
+	case d.holder == nil:
+		return &pb.ClaimKeyResponse{Claim: unheld}
+	}
+	return &pb.ClaimKeyResponse{
+		Claim:       pb.KeyClaim_KEY_CLAIM_SEEN,
+		Holder:      d.holder.Attempt(),
+		Fingerprint: d.holder.Fingerprint,
+		Ran:         d.holder.Ran,
+	}
+}
+
+// SettleKey serves the control call of the same name. It does not wait for the
+// store: a settlement that is lost leaves the key to be resolved at the guard.
+func (g *Register) SettleKey(_ context.Context, r *pb.SettleKeyRequest) (*pb.SettleKeyResponse, error) {
+	k, err := idempotency.ParseKey(r.GetKey())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	settlement := &idempotency.Request{Key: k, Settles: r.GetAttemptId(), Ran: r.GetRan()}
+	g.with(k.Shard(), func(w *worker) {
+		if !w.full() {
+			w.add(settlement, (*idempotency.Owner).Add)
+		}
+	})
+	return &pb.SettleKeyResponse{}, nil
+}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -363,6 +363,7 @@
 //	await version NODE N              the node has at least version N in force
 //	await backends NODE SERVICE N     the node knows N ready backend servers
 //	await health NODE BACKEND STATE   the node knows it as healthy, suspect or ejected
+//	await gone NODE OTHER             the node knows the other as gone
 func (f *fleet) await(ts *testscript.TestScript, args []string) {
 	p := f.process(ts, args[1])
 	waitFor(ts, strings.Join(args, " "), func() bool {
@@ -375,6 +376,8 @@
 			return f.version(p) >= args[2] && len(f.version(p)) >= len(args[2])
 		case "backends":
 			return fmt.Sprint(countReady(status, args[2])) == args[3]
+		case "gone":
+			return isGone(status, args[2])
 		case "health":
 			return healthOf(status, f.process(ts, args[2]).address["backend"]) == args[3]
 		}
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -51,6 +51,9 @@
 			"unload":  withFleet((*fleet).unload),
 			"judge":   withFleet((*fleet).judge),
 			"late":    withFleet((*fleet).late),
+			"key":     withFleet((*fleet).key),
+			"persist": withFleet((*fleet).persist),
+			"pairs":   withFleet((*fleet).pairs),
 		},
 	})
 }
--- a/settings/field.go
+++ b/settings/field.go
@@ -67,6 +67,8 @@
 		intField("limits", "max_header_bytes", &s.Limit.MaxHeaderBytes, "65536", 1024, 1<<20),
 		durationField("limits", "body_stall_timeout", &s.Limit.BodyStallTimeout, "10s", 100*time.Millisecond, time.Hour),
 		intField("limits", "answer_bytes", &s.Limit.AnswerBytes, "1048576", 1024, 16<<20),
+		durationField("keys", "retention", &s.Keys.Retention, "10m", time.Minute, time.Hour),
+		durationField("keys", "batch_interval", &s.Keys.BatchInterval, "200ms", time.Millisecond, time.Second),
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,7 @@
 	Log   Log
 	Trace Trace
 	Limit Limits
+	Keys  Keys
 }
 
 // Node identifies a node and its place, and holds the addresses it listens on.
@@ -87,6 +88,14 @@
 	AnswerBytes int
 }
 
+// Keys sets how idempotency keys are kept. It must be the same on all nodes.
+type Keys struct {
+	// Retention is the time within which work with the same key runs once.
+	Retention time.Duration
+	// BatchInterval is the least time between two writes of a shard of keys.
+	BatchInterval time.Duration
+}
+
 // Load reads and checks a settings file.
 // It returns ErrInvalid with one line that names file, section, key and what is allowed.
 func Load(path string) (Settings, error) {
