--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -28,6 +28,7 @@
 	"github.com/jackdawlane/jackdawlane/route"
 	"github.com/jackdawlane/jackdawlane/settings"
 	"github.com/jackdawlane/jackdawlane/standin/link"
+	store "github.com/jackdawlane/jackdawlane/standin/objectstore"
 )
 
 const (
@@ -81,6 +82,8 @@
 	url   string
 	// views counts the uses of the view, one for each request that goes on to a guard.
 	views atomic.Int32
+	// store holds the idempotency keys.
+	store *store.Server
 	// frozen replaces the current view.
 	frozen *membership.View
 }
@@ -211,6 +214,7 @@
 		View:       f.view,
 		Resolver:   entry.NewControlResolver(&http.Client{}),
 		Limits:     settings.Limits{MaxHeaderBytes: 8 << 10, BodyStallTimeout: 300 * time.Millisecond, RegionBytes: 1},
+		Keys:       newLocalKeys(t, f),
 	})
 	l := listen(t)
 	serve(t, e.Server(), l)
--- a/entry/task.go
+++ b/entry/task.go
@@ -32,6 +32,8 @@
 	size int64
 	// started is when the first attempt could be made.
 	started time.Time
+	// key is nil for a request without an idempotency key.
+	key *keyUse
 }
 
 // run makes attempts until the caller has a reply.
@@ -63,6 +65,7 @@
 		attempt.Tried[choice.Backend.ID] = refused.reason
 		allSuspect = allSuspect && steered(refused.reason)
 	}
+	t.settleKey(refused)
 	if refused != nil {
 		refused.write(w)
 	}
@@ -70,7 +73,7 @@
 
 // mayRetry reports whether the request may go to another backend server.
 func (t *task) mayRetry(ctx context.Context, f *refusal) bool {
-	if ctx.Err() != nil || !t.body.replayable() || !time.Now().Before(t.deadline) {
+	if f.final || ctx.Err() != nil || !t.body.replayable() || !time.Now().Before(t.deadline) {
 		return false
 	}
 	if f.outcome == hop.OutcomeNotRun {
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/jackdawlane/jackdawlane/membership"
 	"github.com/jackdawlane/jackdawlane/objectstore"
 	"github.com/jackdawlane/jackdawlane/observe"
+	"github.com/jackdawlane/jackdawlane/register"
 	"github.com/jackdawlane/jackdawlane/retry"
 	"github.com/jackdawlane/jackdawlane/settings"
 	"github.com/jackdawlane/jackdawlane/telemetry"
@@ -43,6 +44,7 @@
 	observer *observe.Observer
 	guard    *guard.Guard
 	entry    *entry.Entry
+	keys     *register.Register
 	stopping atomic.Bool
 }
 
@@ -78,6 +80,7 @@
 		Observer:    n.observer,
 		Limits:      ledgerLimits(s.Limit),
 	})
+	n.keys = newKeys(s, store, incarnation, logger)
 	n.entry = entry.New(entry.Config{
 		Region:       s.Node.Region,
 		DataCentre:   s.Node.DataCentre,
@@ -86,6 +89,7 @@
 		Resolver:     entry.NewControlResolver(n.client.HTTPClient()),
 		Limits:       s.Limit,
 		RetryMinimum: retry.DefaultMinimum,
+		Keys:         n.keyClient(),
 	})
 	n.publishMetrics(build)
 	return n, nil
@@ -105,6 +109,7 @@
 	n.metrics.Publish("build", func() any { return build })
 	n.metrics.Publish("config_version", func() any { return n.config.Snapshot().Version() })
 	n.metrics.Publish("backend_servers", func() any { return len(n.guard.Backends(time.Now())) })
+	n.metrics.Publish("idempotency_keys", func() any { return n.keys.Keys() })
 	n.metrics.Publish("relay", func() any { return n.syncer.IsRelay() })
 	n.metrics.Publish("lost_data_centres", func() any { return n.syncer.Lost() })
 }
--- a/node/servers.go
+++ b/node/servers.go
@@ -33,6 +33,7 @@
 		Config:   n.config,
 		Attempts: guard.Control{Guard: n.guard},
 		Reports:  n.observer,
+		Keys:     n.keys,
 	}))
 	var all servers
 	for _, part := range []struct {
@@ -96,6 +97,7 @@
 		}
 	}
 	n.observer.Release(ctx)
+	n.keys.Close()
 	n.client.Close()
 	return errors.CombineErrors(failed, n.tracing.Shutdown(ctx))
 }
--- a/settings/field.go
+++ b/settings/field.go
@@ -71,6 +71,8 @@
 		intField("limits", "answer_bytes", &s.Limit.AnswerBytes, "1048576", 1024, 16<<20),
 		durationField("ejection", "hold_time", &s.Ejection.HoldTime, "30s", time.Second, 30*time.Minute),
 		durationField("ejection", "permit_lifetime", &s.Ejection.PermitLifetime, "15s", 3*time.Second, 5*time.Minute),
+		durationField("keys", "retention", &s.Keys.Retention, "10m", time.Minute, time.Hour),
+		durationField("keys", "batch_interval", &s.Keys.BatchInterval, "200ms", time.Millisecond, time.Second),
 	}
 }
 
