Do not count the time and the faults of the path against a backend server

A guard counted a streamed upload that stalled on a cut path as a failure of the backend server, the time in which the entry did not take the answer as a late answer, and the upload as latency. Change: only the time spent waiting for the backend server is its latency; a request that did not arrive whole, or a deadline that passed mostly while the answer waited for the entry, is not observed. Before: TestUploadIsNotTheBackendServersTime fails (a stalled upload counted as a failure; latency 300 ms contains the upload). After: it passes 5 times under the race detector, and the scenarios one-way-cut, bad-requests and gray pass 3 times under it.

--- a/exchange/request.go
+++ b/exchange/request.go
@@ -19,6 +19,9 @@
 	atEOF  func()
 	closed bool
 	ended  atomic.Bool
+	// endedAt is when the reader came to its end, nil before.
+	endedAt atomic.Pointer[time.Time]
+	broken  atomic.Bool
 }
 
 // Read implements io.Reader. After Close it returns http.ErrBodyReadAfterClose.
@@ -29,13 +32,30 @@
 		return 0, http.ErrBodyReadAfterClose
 	}
 	n, err := b.reader.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.ended.Store(true)
+		now := time.Now()
+		b.endedAt.Store(&now)
 		b.atEOF()
+	case err != nil:
+		b.broken.Store(true)
 	}
 	return n, err
 }
 
+// EndedAt returns when the reader came to its end, false before.
+func (b *Body) EndedAt() (time.Time, bool) {
+	at := b.endedAt.Load()
+	if at == nil {
+		return time.Time{}, false
+	}
+	return *at, true
+}
+
+// Broken reports whether a Read failed, for which the receiver is not to blame.
+func (b *Body) Broken() bool { return b.broken.Load() }
+
 // Close waits for a Read in progress; no Read touches the reader afterwards.
 func (b *Body) Close() error {
 	b.mu.Lock()
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -17,7 +17,7 @@
 
 // dispatch sends the attempt to its backend server and relays the answer.
 func (g *Guard) dispatch(ctx context.Context, w http.ResponseWriter, r *http.Request, body io.Reader, j job, s server) {
-	start := time.Now()
+	span := &backendTime{start: time.Now()}
 	reply := exchange.NewReply(w)
 	out, sending := exchange.NewRequest(ctx, r, s.backend.Address, body)
 	prepare(out, j)
@@ -29,18 +29,26 @@
 	res, sent, err := exchange.Do(s.transport, out, reply.Informational)
 	reply.Close()
 	if err != nil {
-		g.dispatchFailed(ctx, w, j, s, sent, start)
+		if ctx.Err() != nil {
+			// Waits until a Read that the deadline ended has failed.
+			sending.Interrupt(w)
+			sending.Close()
+		}
+		span.replied(sending)
+		g.dispatchFailed(ctx, w, j, s, sent, span)
 		return
 	}
+	span.replied(sending)
+	res.Body = &timedBody{ReadCloser: res.Body, span: span}
 	defer res.Body.Close()
 	err = g.relay(reply, res, j)
 	if errors.Is(err, exchange.ErrRead) {
-		g.observe(ctx, j, s, Failed, start)
+		g.observe(ctx, j, s, Failed, span)
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	g.observe(ctx, j, s, resultOf(res.StatusCode), start)
+	g.observe(ctx, j, s, resultOf(res.StatusCode), span)
 }
 
 // prepare replaces the headers of the hop by those for the backend server.
@@ -54,20 +62,20 @@
 	out.Header.Set("Request-Timeout", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
 }
 
-func (g *Guard) dispatchFailed(ctx context.Context, w http.ResponseWriter, j job, s server, sent bool, start time.Time) {
+func (g *Guard) dispatchFailed(ctx context.Context, w http.ResponseWriter, j job, s server, sent bool, span *backendTime) {
 	reason := hop.ReasonUnreachable
 	if ctx.Err() != nil {
 		reason = reasonOf(ctx)
 	}
 	if !sent {
 		if ctx.Err() == nil {
-			g.observe(ctx, j, s, Failed, start)
+			g.observe(ctx, j, s, Failed, span)
 		}
 		g.refuse(w, j, reason)
 		return
 	}
 	g.calls.finish(j.id, nil)
-	g.observe(ctx, j, s, Failed, start)
+	g.observe(ctx, j, s, Failed, span)
 	if reason == hop.ReasonUnreachable {
 		reason = hop.ReasonAnswerLost
 	}
@@ -108,16 +116,16 @@
 	OK: admission.Answered, Failed: admission.Failed, Shed: admission.Shed,
 }
 
-// observe reports a dispatch to the queue and, unless it was cancelled, to the observer.
-func (g *Guard) observe(ctx context.Context, j job, s server, r Result, start time.Time) {
-	latency := time.Since(start)
-	if errors.Is(ctx.Err(), context.Canceled) {
-		s.queue.done(j.id, latency, admission.Cancelled)
+// observe reports a dispatch to the queue and, unless it was cancelled or the
+// path to the entry is to blame, to the observer.
+func (g *Guard) observe(ctx context.Context, j job, s server, r Result, span *backendTime) {
+	if errors.Is(ctx.Err(), context.Canceled) || r == Failed && span.pathIsToBlame(ctx) {
+		s.queue.done(j.id, time.Since(span.start), admission.Cancelled)
 		return
 	}
-	s.queue.done(j.id, latency, admissionResults[r])
+	s.queue.done(j.id, time.Since(span.start), admissionResults[r])
 	g.config.Observer.Observe(Dispatch{
-		BackendID: j.backendID, Service: j.service, Route: j.route, Result: r, Latency: latency,
+		BackendID: j.backendID, Service: j.service, Route: j.route, Result: r, Latency: span.waited,
 	})
 }
 
--- a/scenarios/health_test.go
+++ b/scenarios/health_test.go
@@ -176,12 +176,17 @@
 	})
 }
 
-// work: work BACKEND N waits until a backend server has done N more pieces of work.
+// work: work BACKEND[,BACKEND ...] N waits until each has done N more pieces of work.
 func (f *fleet) work(ts *testscript.TestScript, args []string) {
 	n, err := strconv.Atoi(args[1])
 	check(ts, err)
-	end := f.stats(ts, args[0]).Done + n
-	waitFor(ts, "work "+strings.Join(args, " "), func() bool { return f.stats(ts, args[0]).Done >= end })
+	end := make(map[string]int)
+	for name := range strings.SplitSeq(args[0], ",") {
+		end[name] = f.stats(ts, name).Done + n
+	}
+	for name, done := range end {
+		waitFor(ts, "work "+name+" "+args[1], func() bool { return f.stats(ts, name).Done >= done })
+	}
 }
 
 func (f *fleet) stats(ts *testscript.TestScript, name string) (stats backend.Stats) {
