--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -13,7 +13,13 @@
 	"github.com/jackdawlane/jackdawlane/standin/cmd"
 )
 
+// raceOptions keep programs built with the race detector from waiting a second
+// at their exit, which scenarios with hundreds of commands cannot afford.
+const raceOptions = "atexit_sleep_ms=0"
+
 func TestMain(m *testing.M) {
+	// For the processes that the harness starts itself.
+	_ = os.Setenv("GORACE", raceOptions)
 	testscript.Main(m, map[string]func(){
 		"jackdawlaned": func() { os.Exit(node.Main(os.Args[1:], os.Stderr)) },
 		"jackdawlane":  func() { os.Exit(cli.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, "test")) },
@@ -31,6 +37,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: directory,
 		Setup: func(env *testscript.Env) error {
+			env.Setenv("GORACE", raceOptions)
 			f := newFleet(env)
 			env.Values[fleetKey{}] = f
 			env.Defer(f.killAll)
