--- a/balance/picker.go
+++ b/balance/picker.go
@@ -61,6 +61,8 @@
 	Tried map[string]hop.Reason
 	// Bytes is the expected size of request and reply.
 	Bytes int64
+	// Idempotent work re-tests backend servers that refused other work as suspect.
+	Idempotent bool
 }
 
 // Choice is the chosen backend server.
@@ -153,7 +155,7 @@
 		return tierNoPath
 	case tried:
 		return tierRefused
-	case m.Suspect, known != nil && now < known.suspected:
+	case m.Suspect, known != nil && now < known.suspected && !a.Idempotent:
 		return tierSuspect
 	case m.State != membership.StateReady:
 		return tierStarting
--- /dev/null
+++ b/balance/splitter_test.go
@@ -0,0 +1,44 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/route"
+)
+
+// Guards against shares that are off when many entries each see few requests.
+func TestSplitterKeepsWeightsOverManyEntries(t *testing.T) {
+	r := route.Route{Name: "r", Split: []route.Share{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}}}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, requests := range []int{1, 3, 7, 50} {
+		b, total := 0, 0
+		for range 3000 {
+			s := NewSplitter(rng)
+			for range requests {
+				total++
+				if s.Pool(r) == "b" {
+					b++
+				}
+			}
+		}
+		share := float64(b) / float64(total)
+		assert.Assert(t, math.Abs(share-0.1) < 0.02, "%d requests: %v", requests, share)
+	}
+}
+
+// Guards against weights of an older version that stay in use, and against a share of 0 that gets work.
+func TestSplitterFollowsWeights(t *testing.T) {
+	s := NewSplitter(rand.New(rand.NewPCG(3, 4)))
+	r := route.Route{Name: "r", Pool: "a"}
+	assert.Equal(t, s.Pool(r), "a")
+	r.Split = []route.Share{{Pool: "a", Weight: 1}, {Pool: "b", Weight: 1}}
+	s.Pool(r)
+	r.Split = []route.Share{{Pool: "a", Weight: 0}, {Pool: "b", Weight: 1}}
+	for range 20 {
+		assert.Equal(t, s.Pool(r), "b")
+	}
+}
--- a/cmd/jackdawlaned/main.go
+++ b/cmd/jackdawlaned/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"github.com/jackdawlane/jackdawlane/node"
+	"github.com/jackdawlane/jackdawlane/platform"
 )
 
 func main() {
-	os.Exit(node.Main(os.Args[1:], os.Stderr))
+	os.Exit(node.Main(os.Args[1:], os.Stderr, platform.NewCommand()))
 }
--- a/config/edit.go
+++ b/config/edit.go
@@ -64,7 +64,11 @@
 
 // references returns the rows that a route refers to.
 func references(r route.Route) []rowID {
-	return []rowID{{Pools, r.Pool}, {Organisations, r.Organisation}}
+	ids := []rowID{{Pools, r.Pool}, {Organisations, r.Organisation}}
+	for _, share := range r.Split {
+		ids = append(ids, rowID{Pools, share.Pool})
+	}
+	return ids
 }
 
 // checkReferences checks the routes that the edit writes, and those that refer to a row that it deletes.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"net/textproto"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,8 +20,8 @@
 )
 
 const (
-	// hopGrace lets the guard's own reply about a timeout arrive.
-	hopGrace = 250 * time.Millisecond
+	// hopGrace lets the guard's own reply about a timeout, arrive.
+	hopGrace = 150 * time.Millisecond
 	// resolveTimeout bounds the resolution after the deadline of the request.
 	resolveTimeout = 2 * time.Second
 	// cancelTimeout bounds the call that cancels work whose caller has gone.
@@ -39,7 +41,7 @@
 
 // attempt makes one attempt. It returns nil when the caller has its reply, and
 // aborts the caller's connection when a reply that has begun cannot be completed.
-func (t *task) attempt(w http.ResponseWriter, r *http.Request, c balance.Choice, bytes int64) *refusal {
+func (t *task) attempt(w http.ResponseWriter, r *http.Request, c balance.Choice, bytes int64) *Refusal {
 	b := c.Backend
 	known := t.entry.readings.known(b.Guard)
 	y := &try{task: t, id: hop.NewAttemptID(known), known: known, backend: b, w: w, r: r}
@@ -47,20 +49,28 @@
 	if proceed, refused := y.claim(); !proceed {
 		return refused
 	}
+	t.server = b.Guard.NodeID
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(hopGrace))
 	defer cancel()
 	out, sending := exchange.NewRequest(ctx, r, b.Guard.HopAddress, t.body.reader())
-	y.prepare(out.Header, c.Force)
+	y.prepare(out, c.Force)
 	defer context.AfterFunc(ctx, func() { sending.Interrupt(w) })()
 	// Keeps the transport from reading the body after the attempt.
 	defer sending.Close()
 	reply := exchange.NewReply(w)
-	res, sent, err := exchange.Do(t.entry.transport, out, reply.Informational)
+	accepted := y.expectAcceptance(cancel)
+	res, sent, err := exchange.Do(t.entry.transport, out, func(code int, header textproto.MIMEHeader) {
+		accepted.Store(true)
+		if code != hop.StatusAccepted {
+			reply.Informational(code, header)
+		}
+	})
+	accepted.Store(true)
 	reply.Close()
 	y.ending.replied = err == nil
 	y.ending.failed = err != nil && r.Context().Err() == nil
 	if err != nil && !sent {
-		return notRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard cannot be reached")
+		return NotRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard cannot be reached")
 	}
 	if err != nil {
 		// Waits until a Read that failed has said why.
@@ -81,13 +91,33 @@
 	return refused
 }
 
-func (y *try) prepare(h http.Header, force bool) {
+// expectAcceptance cancels the attempt when the guard does not acknowledge it in time.
+func (y *try) expectAcceptance(cancel context.CancelFunc) *atomic.Bool {
+	accepted := new(atomic.Bool)
+	limit := y.entry.config.AcceptTimeout
+	if limit == 0 {
+		return accepted
+	}
+	time.AfterFunc(limit, func() {
+		if !accepted.Load() {
+			cancel()
+		}
+	})
+	return accepted
+}
+
+func (y *try) prepare(out *http.Request, force bool) {
+	h := out.Header
 	key := h.Values("Idempotency-Key")
 	if len(key) > 0 {
 		h[hop.HeaderIdempotencyKey] = key
 		h.Del("Idempotency-Key")
 	}
-	if y.body.rest != nil {
+	if y.body.rest == nil && len(out.Trailer) == 0 && len(y.body.prefix) > 0 {
+		out.ContentLength = int64(len(y.body.prefix))
+	}
+	confirmed := y.entry.config.AcceptTimeout > 0 && !y.route.Idempotent
+	if y.body.rest != nil || confirmed && len(y.body.prefix) > 0 {
 		h.Set("Expect", "100-continue")
 	}
 	left := max(time.Until(y.deadline)/time.Millisecond, 1)
@@ -112,7 +142,7 @@
 }
 
 // judge acts on the guard's reply.
-func (y *try) judge(reply *exchange.Reply, res *http.Response) *refusal {
+func (y *try) judge(reply *exchange.Reply, res *http.Response) *Refusal {
 	reason := hop.Reason(res.Header.Get(hop.HeaderReason))
 	y.ending.reply.Reason = reason
 	if load, _, err := admission.ParseLoad(res.Header.Get(hop.HeaderLoad)); err == nil {
@@ -120,23 +150,47 @@
 	}
 	switch hop.Outcome(res.Header.Get(hop.HeaderOutcome)) {
 	case hop.OutcomeAnswer:
-		y.deliver(reply, res)
-		return nil
+		return y.answered(reply, res)
 	case hop.OutcomeNotRun:
-		return notRun(http.StatusServiceUnavailable, reason, "the guard refused the work")
+		return NotRun(http.StatusServiceUnavailable, reason, "the guard refused the work")
 	case hop.OutcomeUnknown:
 		if reason != hop.ReasonDuplicate {
-			return unknown(reason, "the backend server gave no complete answer")
+			return Unknown(reason, "the backend server gave no complete answer")
 		}
 	}
 	return y.lost()
 }
 
+// answered delivers an answer, or holds back the failure of work that may be repeated.
+func (y *try) answered(reply *exchange.Reply, res *http.Response) *Refusal {
+	if !y.entry.config.HoldAnswers {
+		y.deliver(reply, res)
+		return nil
+	}
+	a, whole, err := hold(res)
+	if err != nil {
+		return y.lost()
+	}
+	if !whole {
+		y.deliver(reply, res)
+		return nil
+	}
+	y.ending.actual += int64(len(a.body))
+	if y.route.Idempotent && a.status >= http.StatusInternalServerError {
+		failed := Unknown(hop.ReasonFailed, "the backend server failed")
+		failed.answer = a
+		return failed
+	}
+	y.deliverHeld(y.w, a)
+	return nil
+}
+
 // deliver relays an answer. When it breaks off, the rest of a retained answer
 // follows, or the caller's connection is aborted.
 func (y *try) deliver(reply *exchange.Reply, res *http.Response) {
 	streamed := res.ContentLength < 0
-	sendHead(reply, res.StatusCode, res.Header, res.Trailer)
+	y.status = res.StatusCode
+	y.sendHead(reply, res.StatusCode, res.Header, res.Trailer)
 	if streamed {
 		reply.Flush()
 	}
@@ -158,35 +212,38 @@
 	reply.Trailer(a.Trailer)
 }
 
-func sendHead(reply *exchange.Reply, status int, header, trailer http.Header) {
+func (t *task) sendHead(reply *exchange.Reply, status int, header, trailer http.Header) {
 	hop.DropHopByHop(header)
 	hop.DropProjectHeaders(header)
-	header.Set(hop.HeaderOutcome, string(hop.OutcomeAnswer))
+	t.entry.config.Protocol.Answer(header)
 	reply.Head(status, header, trailer)
 }
 
 // lost finds out what became of an attempt without a reply.
-func (y *try) lost() *refusal {
+func (y *try) lost() *Refusal {
 	if y.r.Context().Err() != nil {
 		// A read deadline on the body ends this context too.
 		y.cancel()
-		return unknown(y.endReason(), "the caller has gone or its request body made no progress")
+		return Unknown(y.endReason(), "the caller has gone or its request body made no progress")
 	}
 	if y.route.Idempotent {
-		return unknown(y.lostReason(), "the answer was lost")
+		return Unknown(y.lostReason(), "the answer was lost")
 	}
 	if y.known == (hop.GuardTime{}) {
-		return notRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard takes no work without a reading of its clock")
+		return NotRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard takes no work without a reading of its clock")
+	}
+	if y.entry.config.StrictDeadline && !time.Now().Before(y.deadline) {
+		return Unknown(hop.ReasonTimeout, "the time of the request is over and the work may have run")
 	}
 	state, answer := y.resolve()
 	switch {
 	case state == attempt.NotRun:
-		return notRun(http.StatusServiceUnavailable, hop.ReasonAnswerLost, "the guard never dispatched the work")
+		return NotRun(http.StatusServiceUnavailable, hop.ReasonAnswerLost, "the guard never dispatched the work")
 	case answer != nil:
 		y.deliverRetained(answer)
 		return nil
 	}
-	return unknown(y.lostReason(), "the answer was lost and the work may have run")
+	return Unknown(y.lostReason(), "the answer was lost and the work may have run")
 }
 
 func (y *try) endReason() hop.Reason {
@@ -219,7 +276,11 @@
 
 // resolveAt asks a guard about an attempt, which may be that of another request.
 func (y *try) resolveAt(g membership.Guard, id string) (attempt.State, *attempt.Answer) {
-	ctx, cancel := context.WithDeadline(y.r.Context(), y.deadline.Add(resolveTimeout))
+	limit := y.deadline.Add(resolveTimeout)
+	if y.entry.config.StrictDeadline {
+		limit = y.deadline
+	}
+	ctx, cancel := context.WithDeadline(y.r.Context(), limit)
 	defer cancel()
 	resolver := y.entry.config.Resolver
 	state, err := resolver.Resolve(ctx, g, id, time.Until(y.deadline)+hopGrace)
--- a/entry/balancer.go
+++ b/entry/balancer.go
@@ -27,7 +27,9 @@
 	paths   *balance.Paths
 	bytes   *balance.Bytes
 	burst   int64
-	retries *retry.Budget
+	minimum func() float64
+	share   float64
+	retries map[string]*retry.Budget
 	pickers map[string]*balance.Picker
 	forgot  time.Duration
 }
@@ -43,7 +45,9 @@
 		paths:   balance.NewPaths(),
 		bytes:   balance.NewBytes(0, rate, burst),
 		burst:   int64(burst),
-		retries: retry.NewBudget(0, retry.DefaultShare, c.RetryMinimum),
+		minimum: c.RetryMinimum,
+		share:   c.RetryShare,
+		retries: make(map[string]*retry.Budget),
 		pickers: make(map[string]*balance.Picker),
 	}
 }
@@ -51,18 +55,29 @@
 // now is the time that the decisions of balance and retry need.
 func (b *balancer) now() time.Duration { return time.Since(b.start) }
 
-// request counts a request of a caller.
-func (b *balancer) request() {
+// request counts a request of a caller for the service.
+func (b *balancer) request(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.retries.Request(b.now())
+	b.budget(service).Request(b.now())
 }
 
-// allowRetry reports whether work that may have run may be sent once more.
-func (b *balancer) allowRetry() bool {
+// allowRetry reports whether a backend server of the service may be sent a request that
+// another one received before.
+func (b *balancer) allowRetry(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.retries.Allow(b.now())
+	return b.budget(service).Allow(b.now())
+}
+
+func (b *balancer) budget(service string) *retry.Budget {
+	budget := b.retries[service]
+	if budget == nil {
+		budget = retry.NewBudget(b.now(), b.share, b.minimum())
+		b.retries[service] = budget
+	}
+	budget.SetMinimum(b.minimum())
+	return budget
 }
 
 // pick chooses a backend server of the service. end must follow each choice.
@@ -121,6 +136,7 @@
 		backends := b.view().Backends(service)
 		if len(backends) == 0 {
 			delete(b.pickers, service)
+			delete(b.retries, service)
 		}
 		for _, m := range backends {
 			guards[m.Guard.NodeID] = true
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -78,7 +78,7 @@
 	for _, protocols := range []*http.Protocols{h1, h2} {
 		l := listen(b)
 		serve(b, &http.Server{Handler: http.HandlerFunc(reply), Protocols: protocols}, l)
-		t := exchange.NewTransport(0, manyCallers)
+		t := exchange.NewTransport(exchange.DialTimeout, 0, manyCallers)
 		t.Protocols = protocols
 		compare(b, protocols.String(), "http://"+l.Addr().String()+"/", t)
 	}
@@ -89,7 +89,7 @@
 	n := newNode(b)
 	address := n.addBackend(b, &http.Server{Handler: http.HandlerFunc(reply)})
 	f := newFleet(b, n)
-	t := exchange.NewTransport(0, manyCallers)
+	t := exchange.NewTransport(exchange.DialTimeout, 0, manyCallers)
 	compare(b, "direct", "http://"+address+"/read", t)
 	compare(b, "fleet", f.url+"/read", t)
 }
--- a/entry/body.go
+++ b/entry/body.go
@@ -25,7 +25,7 @@
 }
 
 // readBody reads the first part of the body.
-func readBody(w http.ResponseWriter, r *http.Request, stall time.Duration) (*body, *refusal) {
+func readBody(w http.ResponseWriter, r *http.Request, stall time.Duration) (*body, *Refusal) {
 	if r.ContentLength == 0 {
 		return &body{}, nil
 	}
@@ -33,10 +33,10 @@
 	var prefix bytes.Buffer
 	n, err := io.Copy(&prefix, io.LimitReader(rest, maxReplayable+1))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, notRun(http.StatusRequestTimeout, hop.ReasonTimeout, "the request body made no progress")
+		return nil, NotRun(http.StatusRequestTimeout, hop.ReasonTimeout, "the request body made no progress")
 	}
 	if err != nil {
-		return nil, notRun(http.StatusBadRequest, hop.ReasonBadRequest, "the request body is malformed or broke off")
+		return nil, NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "the request body is malformed or broke off")
 	}
 	if n <= maxReplayable {
 		rest.controller.SetReadDeadline(time.Time{})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,19 +3,21 @@
 package entry
 
 import (
-	"encoding/base64"
-	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
+
+	"github.com/jackdawlane/jackdawlane/balance"
 	"github.com/jackdawlane/jackdawlane/config"
 	"github.com/jackdawlane/jackdawlane/exchange"
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/membership"
 	"github.com/jackdawlane/jackdawlane/pool"
+	"github.com/jackdawlane/jackdawlane/retry"
 	"github.com/jackdawlane/jackdawlane/route"
 	"github.com/jackdawlane/jackdawlane/settings"
 )
@@ -30,17 +32,34 @@
 	View func() *membership.View
 	// Resolver asks guards about lost answers.
 	Resolver Resolver
-	// RetryMinimum is the retries per second allowed without traffic.
-	RetryMinimum float64
+	// RetryShare is the retries allowed for each request of a service; 0 means retry.DefaultShare.
+	RetryShare float64
+	// RetryMinimum returns the retries per second of a service allowed without traffic; nil means none.
+	RetryMinimum func() float64
 	Limits       settings.Limits
-	// Keys decides about requests with an idempotency key. It may be nil when none come.
+	// Keys decides about requests with an idempotency key. Without it such a key has no meaning here.
 	Keys Keys
+	// Protocol is the interface to callers; nil means Native.
+	Protocol Protocol
+	// Logger gets a line for each request; nil logs none.
+	Logger *log.Logger
+	// HoldAnswers lets the entry keep a short answer until it is complete, so that one
+	// that breaks off can be replaced.
+	HoldAnswers bool
+	// WaitForRoom lets a request wait at the entry while no backend server takes it.
+	WaitForRoom bool
+	// StrictDeadline ends the search for a lost answer at the deadline of the request.
+	StrictDeadline bool
+	// AcceptTimeout is the time in which a guard has to acknowledge an attempt; 0 means
+	// that guards acknowledge none.
+	AcceptTimeout time.Duration
 }
 
 // Entry is the http.Handler of the traffic address.
 type Entry struct {
 	config    Config
 	balancer  *balancer
+	splitter  *balance.Splitter
 	transport *http.Transport
 	readings  readings
 }
@@ -51,13 +70,33 @@
 	// continueTimeout is above the time a guard queues work, so that a refused
 	// attempt has not yet consumed a body that cannot be replayed.
 	continueTimeout = time.Second
+	// noTimeout outlasts every request.
+	noTimeout = 2 * route.MaxTimeout
 )
 
 // New returns an entry.
 func New(c Config) *Entry {
-	t := exchange.NewTransport(0, maxIdleHopConns)
+	if c.Protocol == nil {
+		c.Protocol = Native{}
+	}
+	if c.RetryShare == 0 {
+		c.RetryShare = retry.DefaultShare
+	}
+	if c.RetryMinimum == nil {
+		c.RetryMinimum = func() float64 { return 0 }
+	}
+	dial := exchange.DialTimeout
+	if c.AcceptTimeout > 0 {
+		dial = c.AcceptTimeout
+	}
+	t := exchange.NewTransport(dial, 0, maxIdleHopConns)
 	t.ExpectContinueTimeout = continueTimeout
-	return &Entry{config: c, balancer: newBalancer(c), transport: t}
+	if c.AcceptTimeout > 0 {
+		// The body goes to a guard that asked for it, and to no other.
+		t.ExpectContinueTimeout = noTimeout
+	}
+	splitter := balance.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return &Entry{config: c, balancer: newBalancer(c), splitter: splitter, transport: t}
 }
 
 // Server returns the server of the traffic address: HTTP/1.1, and HTTP/2 with prior knowledge.
@@ -77,11 +116,11 @@
 // ServeHTTP serves one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	if r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, keyStatusPath) {
+	if e.config.Keys != nil && r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, keyStatusPath) {
 		e.serveKeyStatus(w, r)
 		return
 	}
-	t, refused := e.accept(r)
+	t, refused := e.accept(r, received)
 	if refused == nil {
 		t.body, refused = readBody(w, r, e.config.Limits.BodyStallTimeout)
 	}
@@ -89,56 +128,56 @@
 		t.key, refused = t.useKey(r, received)
 	}
 	if refused != nil {
-		refused.write(w)
+		t.refuse(w, refused)
 		return
 	}
-	e.balancer.request()
+	e.balancer.request(t.pool.Service)
 	http.NewResponseController(w).EnableFullDuplex()
 	t.run(w, r)
 }
 
-// accept checks the request and returns its task.
-func (e *Entry) accept(r *http.Request) (*task, *refusal) {
+// accept checks the request and returns its task, also with a refusal.
+func (e *Entry) accept(r *http.Request, received time.Time) (*task, *Refusal) {
+	t := &task{entry: e, received: received}
 	if refused := checkRequest(r, e.config.Limits.MaxHeaderBytes); refused != nil {
-		return nil, refused
+		return t, refused
 	}
 	snapshot := e.config.Snapshot()
 	if snapshot == nil || snapshot.Version() == 0 {
-		return nil, notRun(http.StatusServiceUnavailable, hop.ReasonNotConfigured, "no configuration is in force")
+		return t, NotRun(http.StatusServiceUnavailable, hop.ReasonNotConfigured, "no configuration is in force")
 	}
-	name, secret, ok := credentials(r.Header)
-	if !ok || !snapshot.Authenticate(name, secret) {
-		return nil, notRun(http.StatusProxyAuthRequired, hop.ReasonNoCredential, "Proxy-Authorization is missing or wrong")
+	t.version = snapshot.Version()
+	ask, refused := e.config.Protocol.Accept(r, snapshot)
+	t.requestID = ask.RequestID
+	if refused != nil {
+		return t, refused
 	}
 	hop.DropProjectHeaders(r.Header)
-	rt, ok := snapshot.Match(name, r.Host, r.Method, r.URL.Path)
+	rt, ok := snapshot.Match(ask.Organisation, r.Host, r.Method, r.URL.Path)
 	if !ok {
-		return nil, notRun(http.StatusNotFound, hop.ReasonNoRoute, "no route matches host, method and path")
+		return t, NotRun(http.StatusNotFound, hop.ReasonNoRoute, "no route matches host, method and path")
 	}
-	p, ok := snapshot.Pool(rt.Pool)
+	t.route = rt
+	name := e.splitter.Pool(rt)
+	t.pool, ok = snapshot.Pool(name)
 	if !ok {
-		return nil, notRun(http.StatusServiceUnavailable, hop.ReasonNoPool, "pool "+rt.Pool+" does not exist")
+		return t, NotRun(http.StatusServiceUnavailable, hop.ReasonNoPool, "pool "+name+" does not exist")
 	}
-	timeout, ok := timeoutOf(r.Header, rt)
-	if !ok {
-		return nil, notRun(http.StatusBadRequest, hop.ReasonBadRequest, "Request-Timeout is not a positive number of seconds")
-	}
-	return &task{
-		entry:    e,
-		size:     int64(headerBytes(r)),
-		route:    rt,
-		pool:     p,
-		version:  snapshot.Version(),
-		deadline: time.Now().Add(timeout),
-	}, nil
+	timeout := rt.Timeout()
+	if ask.Timeout > 0 {
+		timeout = min(timeout, ask.Timeout)
+	}
+	t.size = int64(headerBytes(r))
+	t.deadline = received.Add(timeout)
+	return t, nil
 }
 
-func checkRequest(r *http.Request, maxHeaderBytes int) *refusal {
+func checkRequest(r *http.Request, maxHeaderBytes int) *Refusal {
 	if r.Method == http.MethodConnect {
-		return notRun(http.StatusBadRequest, hop.ReasonBadRequest, "CONNECT is not supported")
+		return NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "CONNECT is not supported")
 	}
 	if headerBytes(r) > maxHeaderBytes {
-		return notRun(http.StatusRequestHeaderFieldsTooLarge, hop.ReasonBadRequest, "the headers are too large")
+		return NotRun(http.StatusRequestHeaderFieldsTooLarge, hop.ReasonBadRequest, "the headers are too large")
 	}
 	return nil
 }
@@ -156,34 +195,6 @@
 	return n
 }
 
-func credentials(h http.Header) (name, secret string, ok bool) {
-	scheme, encoded, _ := strings.Cut(h.Get("Proxy-Authorization"), " ")
-	if !strings.EqualFold(scheme, "Basic") {
-		return "", "", false
-	}
-	decoded, err := base64.StdEncoding.DecodeString(encoded)
-	if err != nil {
-		return "", "", false
-	}
-	return strings.Cut(string(decoded), ":")
-}
-
-// timeoutOf returns the route's timeout, or a shorter one that the caller asks for.
-func timeoutOf(h http.Header, rt route.Route) (time.Duration, bool) {
-	text := h.Get("Request-Timeout")
-	if text == "" {
-		return rt.Timeout(), true
-	}
-	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
-		return 0, false
-	}
-	if seconds >= rt.Timeout().Seconds() {
-		return rt.Timeout(), true
-	}
-	return time.Duration(seconds * float64(time.Second)), true
-}
-
 // candidates returns the ready backend servers in the regions of the pool. The
 // caller must not change them.
 func (e *Entry) candidates(p pool.Pool) []membership.Backend {
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -47,13 +47,13 @@
 
 // useKey returns the use of the request's key, nil when the request has none or
 // may be repeated anyway.
-func (t *task) useKey(r *http.Request, received time.Time) (*keyUse, *refusal) {
+func (t *task) useKey(r *http.Request, received time.Time) (*keyUse, *Refusal) {
 	values := r.Header.Values("Idempotency-Key")
-	if t.route.Idempotent || len(values) == 0 {
+	if t.route.Idempotent || len(values) == 0 || t.entry.config.Keys == nil {
 		return nil, nil
 	}
 	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyBytes {
-		return nil, notRun(http.StatusBadRequest, hop.ReasonBadRequest, "Idempotency-Key is not one value of 1 to 255 bytes")
+		return nil, NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "Idempotency-Key is not one value of 1 to 255 bytes")
 	}
 	length := r.ContentLength
 	if t.body.rest == nil {
@@ -68,7 +68,7 @@
 
 // claim claims the request's key for the attempt. It reports whether the
 // attempt may be sent; if not, the refusal is nil when the caller has its reply.
-func (y *try) claim() (bool, *refusal) {
+func (y *try) claim() (bool, *Refusal) {
 	// A guard takes no attempt without a reading of its clock, so that one cannot run.
 	if y.key == nil || y.known == (hop.GuardTime{}) {
 		return true, nil
@@ -76,7 +76,7 @@
 	for {
 		// Checked after the ID was made: its reading bounds when the guard takes it.
 		if time.Since(y.key.received) > idempotency.ClaimWindow {
-			return false, notRun(http.StatusServiceUnavailable, hop.ReasonTimeout, "the request is too old to claim its key").ended()
+			return false, NotRun(http.StatusServiceUnavailable, hop.ReasonTimeout, "the request is too old to claim its key").ended()
 		}
 		reply := y.askForKey()
 		switch reply.GetClaim() {
@@ -89,7 +89,7 @@
 				return false, refused
 			}
 		default:
-			return false, notRun(http.StatusServiceUnavailable, hop.ReasonKeyRegister, "the register of idempotency keys cannot decide").ended()
+			return false, NotRun(http.StatusServiceUnavailable, hop.ReasonKeyRegister, "the register of idempotency keys cannot decide").ended()
 		}
 	}
 }
@@ -113,11 +113,11 @@
 
 // seen acts on a key that another attempt holds. It reports false when that
 // attempt was proved not run and the key can be claimed again.
-func (y *try) seen(reply *jackdawlanev1.ClaimKeyResponse) (bool, *refusal) {
+func (y *try) seen(reply *jackdawlanev1.ClaimKeyResponse) (bool, *Refusal) {
 	if reply.GetFingerprint() != y.key.fingerprint {
-		return true, notRun(http.StatusUnprocessableEntity, hop.ReasonKeyReused, "the key was used for another request").ended()
+		return true, NotRun(http.StatusUnprocessableEntity, hop.ReasonKeyReused, "the key was used for another request").ended()
 	}
-	duplicate := unknown(hop.ReasonDuplicateKey, "the work was sent before with this key and may have run")
+	duplicate := Unknown(hop.ReasonDuplicateKey, "the work was sent before with this key and may have run")
 	if y.key.resolved {
 		return true, duplicate
 	}
@@ -154,18 +154,19 @@
 // deliverRetained sends an answer that a guard retained.
 func (y *try) deliverRetained(a *attempt.Answer) {
 	reply := exchange.NewReply(y.w)
-	sendHead(reply, a.Status, a.Header.Clone(), a.Trailer)
+	y.status = a.Status
+	y.sendHead(reply, a.Status, a.Header.Clone(), a.Trailer)
 	y.w.Write(a.Body)
 	reply.Trailer(a.Trailer)
 }
 
 // settleKey tells the register what became of the request's last claim, after
 // the reply. Work whose outcome is unknown keeps the key.
-func (t *task) settleKey(last *refusal) {
+func (t *task) settleKey(last *Refusal) {
 	if t.key == nil || t.key.claimed == "" {
 		return
 	}
-	if last != nil && last.outcome != hop.OutcomeNotRun {
+	if last != nil && last.Outcome != hop.OutcomeNotRun {
 		return
 	}
 	r := &jackdawlanev1.SettleKeyRequest{Key: t.key.key[:], AttemptId: t.key.claimed, Ran: last == nil}
--- /dev/null
+++ b/entry/protocol.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/config"
+	"github.com/jackdawlane/jackdawlane/hop"
+)
+
+// Ask is what a caller's headers say of its request.
+type Ask struct {
+	// Organisation owns the routes that may match; empty where routes have no owner.
+	Organisation string
+	// RequestID names the request in logs; it may be empty.
+	RequestID string
+	// Timeout is the time that the caller waits; 0 means the route's timeout.
+	Timeout time.Duration
+}
+
+// Protocol is the interface between callers and the entry.
+type Protocol interface {
+	// Accept reads the caller's headers. It removes those that must not go on.
+	Accept(r *http.Request, s *config.Snapshot) (Ask, *Refusal)
+	// Refuse writes a reply of the entry itself.
+	Refuse(w http.ResponseWriter, f *Refusal)
+	// Answer marks the headers of a backend server's answer for the caller.
+	Answer(h http.Header)
+}
+
+// Refusal is a reply of the entry itself.
+type Refusal struct {
+	Status  int
+	Outcome hop.Outcome
+	Reason  hop.Reason
+	Detail  string
+	// RetryAfter is when the caller may come back after work that was not run.
+	RetryAfter time.Duration
+	// final is set when another attempt would be refused for the same reason.
+	final bool
+	// answer is the failure of a backend server that no further attempt replaced.
+	answer *answer
+}
+
+// defaultRetryAfter is stated where nothing is known of when there will be room.
+const defaultRetryAfter = time.Second
+
+// NotRun returns a refusal of work that did not run.
+func NotRun(status int, reason hop.Reason, detail string) *Refusal {
+	return &Refusal{Status: status, Outcome: hop.OutcomeNotRun, Reason: reason, Detail: detail, RetryAfter: defaultRetryAfter}
+}
+
+// Unknown returns a reply about work that may have run.
+func Unknown(reason hop.Reason, detail string) *Refusal {
+	status := http.StatusBadGateway
+	if reason == hop.ReasonTimeout {
+		status = http.StatusGatewayTimeout
+	}
+	return &Refusal{Status: status, Outcome: hop.OutcomeUnknown, Reason: reason, Detail: detail}
+}
+
+// ended returns the refusal as one that no further attempt follows.
+func (f *Refusal) ended() *Refusal {
+	f.final = true
+	return f
+}
--- a/entry/task.go
+++ b/entry/task.go
@@ -12,73 +12,172 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 3
 	// retryWithin is the time in which work that a loaded backend server refused
 	// is tried elsewhere. With one more wait of 20 ms in a queue, the last
 	// refusal reaches the caller within 50 ms.
 	retryWithin = 25 * time.Millisecond
+	// roomPause is the time between two rounds over the backend servers while none takes the work.
+	roomPause = 100 * time.Millisecond
+	// usefulShare is the share of the target latency within which work must have
+	// found a backend server, so that the answer can still be of use.
+	usefulShare = 0.6
+	// maxRounds bounds the attempts of a request that waits for room.
+	maxRounds = 200
 )
 
 // task is one request of a caller on its way.
 type task struct {
-	entry    *Entry
-	route    route.Route
-	pool     pool.Pool
-	version  uint64
-	deadline time.Time
-	body     *body
+	entry     *Entry
+	requestID string
+	received  time.Time
+	route     route.Route
+	pool      pool.Pool
+	version   uint64
+	deadline  time.Time
+	body      *body
 	// size is that of the request's headers in bytes.
 	size int64
 	// started is when the first attempt could be made.
 	started time.Time
 	// key is nil for a request without an idempotency key.
 	key *keyUse
+	// attempts counts the attempts made, sent those that may have reached a backend server.
+	attempts, sent int
+	// server is the node whose backend server was tried last.
+	server string
+	// status is that of the reply to the caller.
+	status int
 }
 
 // run makes attempts until the caller has a reply.
 func (t *task) run(w http.ResponseWriter, r *http.Request) {
 	t.started = time.Now()
 	if !t.started.Before(t.deadline) {
-		notRun(http.StatusServiceUnavailable, hop.ReasonTimeout, "the time of the request is over").write(w)
+		t.refuse(w, NotRun(http.StatusServiceUnavailable, hop.ReasonTimeout, "the time of the request is over"))
 		return
 	}
-	candidates := t.entry.candidates(t.pool)
-	refused := notRun(http.StatusServiceUnavailable, hop.ReasonNoBackend, "no backend server of the pool can be used")
-	attempt := balance.Attempt{Tried: make(map[string]hop.Reason), Bytes: t.size + t.body.length(r)}
+	refused := t.attemptAll(w, r)
+	t.settleKey(refused)
+	switch {
+	case refused == nil:
+		t.log(nil)
+	case refused.answer != nil:
+		t.deliverHeld(w, refused.answer)
+		t.log(nil)
+	default:
+		t.refuse(w, refused)
+	}
+}
+
+// attemptAll makes attempts until one answers or none may follow.
+func (t *task) attemptAll(w http.ResponseWriter, r *http.Request) *Refusal {
+	refused := NotRun(http.StatusServiceUnavailable, hop.ReasonNoBackend, "no backend server of the pool can be used")
+	attempt := balance.Attempt{Tried: make(map[string]hop.Reason), Bytes: t.size + t.body.length(r), Idempotent: t.route.Idempotent}
 	allSuspect := true
-	for n := 1; n <= maxAttempts; n++ {
-		choice, ok := t.choose(n, candidates, attempt)
-		if !ok {
+	for t.mayTry() {
+		choice, ok := t.choose(t.attempts+1, t.entry.candidates(t.pool), attempt)
+		if !ok && !t.waitForRoom(r.Context(), attempt.Tried) {
 			break
 		}
+		if !ok {
+			continue
+		}
+		t.attempts++
 		// Suspicion alone takes no capacity away, so the last attempt does not heed it.
-		choice.Force = choice.Force || n == maxAttempts && allSuspect
-		refused = t.attempt(w, r, choice, attempt.Bytes)
-		if refused != nil && refused.reason == hop.ReasonStaleGuardTime && t.mayRetry(r.Context(), refused) {
+		choice.Force = choice.Force || t.attempts == t.route.Attempts() && allSuspect && !t.entry.config.WaitForRoom
+		next := t.attempt(w, r, choice, attempt.Bytes)
+		if next != nil && next.Reason == hop.ReasonStaleGuardTime && t.mayRetry(r.Context(), next) {
 			// The refusal brought the reading that the guard asks for.
-			refused = t.attempt(w, r, choice, attempt.Bytes)
+			next = t.attempt(w, r, choice, attempt.Bytes)
+		}
+		if next != nil && next.answer == nil && refused.answer != nil {
+			// The failure of a backend server tells the caller more than a refusal.
+			next.answer = refused.answer
 		}
+		refused = next
 		if refused == nil || !t.mayRetry(r.Context(), refused) {
 			break
 		}
-		attempt.Tried[choice.Backend.ID] = refused.reason
-		allSuspect = allSuspect && steered(refused.reason)
+		attempt.Tried[choice.Backend.ID] = refused.Reason
+		allSuspect = allSuspect && steered(refused.Reason)
 	}
-	t.settleKey(refused)
-	if refused != nil {
-		refused.write(w)
+	return refused
+}
+
+// mayTry reports whether the number of attempts allows another one.
+func (t *task) mayTry() bool {
+	if t.entry.config.WaitForRoom {
+		return t.attempts < maxRounds
 	}
+	return t.attempts < t.route.Attempts()
+}
+
+// waitForRoom waits before all backend servers are tried again, except those that
+// received the work. It reports false when the answer would come too late.
+func (t *task) waitForRoom(ctx context.Context, tried map[string]hop.Reason) bool {
+	if !t.entry.config.WaitForRoom || time.Now().Add(roomPause).After(t.usefulUntil()) {
+		return false
+	}
+	sleep(ctx, roomPause)
+	for id, reason := range tried {
+		if !arrived(reason) {
+			delete(tried, id)
+		}
+	}
+	t.attempts++
+	return ctx.Err() == nil
+}
+
+// usefulUntil is the time until which work may wait for a backend server.
+func (t *task) usefulUntil() time.Time {
+	target := t.route.TargetLatency()
+	if target == 0 {
+		target = t.deadline.Sub(t.received)
+	}
+	return t.received.Add(time.Duration(usefulShare * float64(target)))
+}
+
+// arrived reports whether an attempt that ended for the reason may have reached its backend server.
+func arrived(r hop.Reason) bool {
+	return r == hop.ReasonAnswerLost || r == hop.ReasonFailed || r == hop.ReasonDeclined
 }
 
 // mayRetry reports whether the request may go to another backend server.
-func (t *task) mayRetry(ctx context.Context, f *refusal) bool {
+func (t *task) mayRetry(ctx context.Context, f *Refusal) bool {
 	if f.final || ctx.Err() != nil || !t.body.replayable() || !time.Now().Before(t.deadline) {
 		return false
 	}
-	if f.outcome == hop.OutcomeNotRun {
-		loaded := f.reason == hop.ReasonFull || f.reason == hop.ReasonTimeout
-		return !loaded || time.Since(t.started) < retryWithin
+	service := t.pool.Service
+	if f.Outcome != hop.OutcomeNotRun {
+		t.sent++
+		return t.route.Idempotent && t.sent < t.route.Attempts() && t.entry.balancer.allowRetry(service)
+	}
+	if f.Reason == hop.ReasonDeclined && !t.entry.balancer.allowRetry(service) {
+		return false
+	}
+	loaded := f.Reason == hop.ReasonFull || f.Reason == hop.ReasonTimeout
+	return !loaded || t.entry.config.WaitForRoom || time.Since(t.started) < retryWithin
+}
+
+// refuse replies to the caller in the entry's own name.
+func (t *task) refuse(w http.ResponseWriter, f *Refusal) {
+	t.status = f.Status
+	t.entry.config.Protocol.Refuse(w, f)
+	t.log(f)
+}
+
+// log writes the line of a request: what decided it, and how it ended.
+func (t *task) log(f *Refusal) {
+	logger := t.entry.config.Logger
+	if logger == nil {
+		return
+	}
+	outcome, reason := hop.OutcomeAnswer, hop.Reason("")
+	if f != nil {
+		outcome, reason = f.Outcome, f.Reason
 	}
-	return t.route.Idempotent && t.entry.balancer.allowRetry()
+	logger.Info("request",
+		"id", t.requestID, "route", t.route.Name, "version", t.version, "service", t.pool.Service,
+		"server", t.server, "attempts", t.attempts, "outcome", string(outcome), "reason", string(reason),
+		"status", t.status, "ms", time.Since(t.received).Milliseconds())
 }
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -20,7 +20,8 @@
 var ErrExchange = errors.New("no response")
 
 const (
-	dialTimeout = 2 * time.Second
+	// DialTimeout bounds a new connection where nothing is known of the path.
+	DialTimeout = 2 * time.Second
 	idleTimeout = 90 * time.Second
 )
 
@@ -57,9 +58,9 @@
 }
 
 // NewTransport returns an HTTP/1.1 transport for use with Do.
-// maxConns bounds the connections to each host; 0 means no bound.
-func NewTransport(maxConns, maxIdleConns int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// dial bounds a new connection. maxConns bounds the connections to each host; 0 means no bound.
+func NewTransport(dial time.Duration, maxConns, maxIdleConns int) *http.Transport {
+	dialer := NewDialer(dial)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
@@ -118,8 +119,29 @@
 		},
 	}
 	res, err = t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil {
-		return nil, tr.stop(), errors.Mark(err, ErrExchange)
+	if err == nil {
+		res.Body = &responseBody{ReadCloser: res.Body, tracker: tr}
+		return res, true, nil
 	}
-	return res, true, nil
+	sent = tr.stop()
+	if body, ok := req.Body.(*Body); ok && req.Header.Get("Expect") != "" {
+		// The receiver acts only on the body, which the transport holds back until it is asked for.
+		body.Close()
+		sent = sent && body.started.Load()
+	}
+	return nil, sent, errors.Mark(err, ErrExchange)
+}
+
+// responseBody is the body of a response with the connection that it came on.
+type responseBody struct {
+	io.ReadCloser
+	tracker *tracker
+}
+
+// Discard closes the connection of a response of Do, which is not used again.
+func Discard(res *http.Response) {
+	if b, ok := res.Body.(*responseBody); ok {
+		b.tracker.stop()
+	}
+	res.Body.Close()
 }
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -22,6 +22,8 @@
 	// endedAt is when the reader came to its end, nil before.
 	endedAt atomic.Pointer[time.Time]
 	broken  atomic.Bool
+	// started is set by the first Read.
+	started atomic.Bool
 }
 
 // Read implements io.Reader. After Close it returns http.ErrBodyReadAfterClose.
@@ -31,6 +33,7 @@
 	if b.closed {
 		return 0, http.ErrBodyReadAfterClose
 	}
+	b.started.Store(true)
 	n, err := b.reader.Read(p)
 	switch {
 	case err == io.EOF:
--- a/guard/announce.go
+++ b/guard/announce.go
@@ -88,6 +88,12 @@
 		http.Error(w, "the credential does not allow this service", http.StatusForbidden)
 		return
 	}
-	g.registry.announce(a.backend(), time.Now())
+	g.registry.announce(a.backend(), "", time.Now())
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// Register records what a backend server said of itself. instance identifies its
+// process; requests name it, so that a later process at the address runs none of them.
+func (g *Guard) Register(b membership.Backend, instance string) {
+	g.registry.announce(b, instance, time.Now())
+}
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -20,7 +21,7 @@
 	span := &backendTime{start: time.Now()}
 	reply := exchange.NewReply(w)
 	out, sending := exchange.NewRequest(ctx, r, s.backend.Address, body)
-	prepare(out, j)
+	g.prepare(out, j, s)
 	// http.Transport waits for a Read in progress, so the deadline must end it.
 	defer context.AfterFunc(ctx, func() { sending.Interrupt(w) })()
 	// Keeps the transport from reading the body after the handler has returned.
@@ -39,8 +40,26 @@
 		return
 	}
 	span.replied(sending)
-	res.Body = &timedBody{ReadCloser: res.Body, span: span}
 	defer res.Body.Close()
+	switch g.config.Protocol.Judge(out, res) {
+	case Declined, Misdirected:
+		g.observe(ctx, j, s, Shed, span)
+		g.log(j, s, hop.ReasonDeclined, res.StatusCode, span)
+		g.refuse(w, j, hop.ReasonDeclined)
+		return
+	case Foreign:
+		// The connection may hold more that belongs to no request.
+		exchange.Discard(res)
+		g.dispatchFailed(ctx, w, j, s, true, span)
+		return
+	}
+	res.Body = &timedBody{ReadCloser: res.Body, span: span}
+	if g.config.HoldAnswers {
+		if err := holdShort(res); err != nil {
+			g.dispatchFailed(ctx, w, j, s, true, span)
+			return
+		}
+	}
 	err = g.relay(reply, res, j)
 	if errors.Is(err, exchange.ErrRead) {
 		g.observe(ctx, j, s, Failed, span)
@@ -51,15 +70,47 @@
 	g.observe(ctx, j, s, resultOf(res.StatusCode), span)
 }
 
+// holdShort reads a short answer to its end, so that one that breaks off is reported as lost.
+func holdShort(res *http.Response) error {
+	whole, data, err := exchange.ReadShort(res.Body)
+	if err != nil {
+		return err
+	}
+	if !whole {
+		res.Body = struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(data), res.Body), res.Body}
+		return nil
+	}
+	res.Body = io.NopCloser(bytes.NewReader(data))
+	if res.ContentLength < 0 && len(res.Trailer) == 0 && res.Request.Method != http.MethodHead {
+		res.ContentLength = int64(len(data))
+		res.Header.Set("Content-Length", strconv.Itoa(len(data)))
+	}
+	return nil
+}
+
+// log writes the line of a dispatch that gave no answer.
+func (g *Guard) log(j job, s server, reason hop.Reason, status int, span *backendTime) {
+	if g.config.Logger == nil {
+		return
+	}
+	g.config.Logger.Info("dispatch",
+		"attempt", j.id, "instance", s.instance, "service", j.service, "reason", string(reason),
+		"status", status, "health", string(g.config.Observer.State(j.backendID)),
+		"ms", time.Since(span.start).Milliseconds())
+}
+
 // prepare replaces the headers of the hop by those for the backend server.
-func prepare(out *http.Request, j job) {
+func (g *Guard) prepare(out *http.Request, j job, s server) {
 	key := out.Header.Values(hop.HeaderIdempotencyKey)
 	hop.DropProjectHeaders(out.Header)
 	if len(key) > 0 {
 		out.Header["Idempotency-Key"] = key
 	}
 	left := max(time.Until(j.deadline), time.Millisecond)
-	out.Header.Set("Request-Timeout", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	g.config.Protocol.Prepare(out.Header, Delivery{Instance: s.instance, Left: left})
 }
 
 func (g *Guard) dispatchFailed(ctx context.Context, w http.ResponseWriter, j job, s server, sent bool, span *backendTime) {
@@ -79,6 +130,7 @@
 	if reason == hop.ReasonUnreachable {
 		reason = hop.ReasonAnswerLost
 	}
+	g.log(j, s, reason, 0, span)
 	status := http.StatusBadGateway
 	if reason == hop.ReasonTimeout {
 		status = http.StatusGatewayTimeout
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/jackdawlane/jackdawlane/admission"
 	"github.com/jackdawlane/jackdawlane/attempt"
 	"github.com/jackdawlane/jackdawlane/hop"
@@ -26,6 +28,19 @@
 	Observer Observer
 	// Limits bounds the attempt ledger.
 	Limits attempt.Limits
+	// Protocol is the interface to backend servers; nil means Native.
+	Protocol Protocol
+	// Expiry is how long a backend server counts as present after it was last heard; 0 means 3 s.
+	Expiry time.Duration
+	// IdleTimeout is how long a connection to a backend server stays unused; 0 means 90 s.
+	// It must be below the time after which backend servers close such a connection.
+	IdleTimeout time.Duration
+	// HoldAnswers lets the guard keep a short answer until it is complete.
+	HoldAnswers bool
+	// Acknowledge tells the entry of each attempt when it arrives.
+	Acknowledge bool
+	// Logger gets a line for each dispatch that fails; nil logs none.
+	Logger *log.Logger
 }
 
 // Guard is the http.Handler of the hop address.
@@ -42,9 +57,15 @@
 	if c.Observer == nil {
 		c.Observer = noObserver{}
 	}
+	if c.Protocol == nil {
+		c.Protocol = Native{}
+	}
+	if c.Expiry == 0 {
+		c.Expiry = announceExpiry
+	}
 	return &Guard{
 		config:   c,
-		registry: &registry{self: c.Self, clock: newClock(), servers: make(map[string]server)},
+		registry: &registry{self: c.Self, clock: newClock(), expiry: c.Expiry, idle: c.IdleTimeout, servers: make(map[string]server)},
 		calls:    newCalls(c.Limits),
 		clock:    newAttemptClock(c.Self.Incarnation),
 	}
@@ -99,11 +120,19 @@
 		return
 	}
 	defer g.calls.end(j.id)
+	if _, reason := g.available(&j); reason != "" {
+		// Refused before its body is asked for, and before full duplex, which leaves an unread body on the connection.
+		g.refuse(w, j, reason)
+		return
+	}
 	http.NewResponseController(w).EnableFullDuplex()
 	g.serve(ctx, cancel, w, r, j)
 }
 
 func (g *Guard) serve(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, r *http.Request, j job) {
+	if g.config.Acknowledge && r.ContentLength == 0 {
+		w.WriteHeader(hop.StatusAccepted)
+	}
 	body, err := bodyOf(r)
 	if err != nil {
 		g.refuse(w, j, hop.ReasonBadRequest)
@@ -131,8 +160,17 @@
 	g.dispatch(ctx, w, r, body, j, s)
 }
 
+// bodyOf reads a short body, and the first part of a long one. An entry that has
+// not sent the part can then say that the work did not run.
 func bodyOf(r *http.Request) (io.Reader, error) {
-	if r.ContentLength <= 0 || r.ContentLength > maxBufferedBody {
+	if r.ContentLength > maxBufferedBody {
+		first := make([]byte, 1)
+		if _, err := io.ReadFull(r.Body, first); err != nil {
+			return nil, err
+		}
+		return io.MultiReader(bytes.NewReader(first), r.Body), nil
+	}
+	if r.ContentLength <= 0 {
 		return r.Body, nil
 	}
 	body := make([]byte, r.ContentLength)
--- /dev/null
+++ b/guard/protocol.go
@@ -0,0 +1,49 @@
+package guard
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Verdict is what a response of a backend server means.
+type Verdict int
+
+// Verdicts on a response.
+const (
+	// Genuine responses answer the request.
+	Genuine Verdict = iota
+	// Declined responses state that the backend server did not run the request.
+	Declined
+	// Misdirected responses come from another backend server, which did not run the request.
+	Misdirected
+	// Foreign responses do not answer the request, whose own answer is lost.
+	Foreign
+)
+
+// Delivery is a request on its way to a backend server.
+type Delivery struct {
+	// Instance identifies the process of the backend server; it may be empty.
+	Instance string
+	// Left is the time in which the answer is of use.
+	Left time.Duration
+}
+
+// Protocol is the interface between the guard and backend servers.
+type Protocol interface {
+	// Prepare sets the headers that the backend server expects.
+	Prepare(h http.Header, d Delivery)
+	// Judge tells what a response to the request means.
+	Judge(request *http.Request, response *http.Response) Verdict
+}
+
+// Native is the project's own interface to backend servers.
+type Native struct{}
+
+// Prepare implements Protocol.
+func (Native) Prepare(h http.Header, d Delivery) {
+	h.Set("Request-Timeout", strconv.FormatFloat(d.Left.Seconds(), 'f', 3, 64))
+}
+
+// Judge implements Protocol.
+func (Native) Judge(*http.Request, *http.Response) Verdict { return Genuine }
--- a/guard/registry.go
+++ b/guard/registry.go
@@ -20,26 +20,34 @@
 	transport *http.Transport
 	queue     *queue
 	heard     time.Time
+	// instance identifies the process of the backend server where it states one.
+	instance string
+	expiry   time.Duration
 }
 
 // registry holds the backend servers of a guard.
 type registry struct {
 	self    membership.Guard
 	clock   clock
+	expiry  time.Duration
+	idle    time.Duration
 	mu      sync.Mutex
 	servers map[string]server
 }
 
 // announce records an announcement and forgets backend servers that are gone.
-func (g *registry) announce(b membership.Backend, now time.Time) {
+func (g *registry) announce(b membership.Backend, instance string, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sweep(now)
 	b.Guard = g.self
 	old, ok := g.servers[b.ID]
 	transport := old.transport
-	if !ok || old.backend.Connections != b.Connections {
-		transport = exchange.NewTransport(b.Connections, b.Connections)
+	if !ok || old.backend.Connections != b.Connections || old.instance != instance {
+		transport = exchange.NewTransport(exchange.DialTimeout, b.Connections, b.Connections)
+		if g.idle > 0 {
+			transport.IdleConnTimeout = g.idle
+		}
 		closeIdle(old)
 	}
 	queue := old.queue
@@ -48,7 +56,17 @@
 	} else {
 		queue = newQueue(g.clock, b.Slots, b.State)
 	}
-	g.servers[b.ID] = server{backend: b, transport: transport, queue: queue, heard: now}
+	g.servers[b.ID] = server{backend: b, transport: transport, queue: queue, heard: now, instance: instance, expiry: g.expiry}
+}
+
+// remove forgets a backend server at once.
+func (g *registry) remove(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s, ok := g.servers[id]; ok {
+		delete(g.servers, id)
+		closeIdle(s)
+	}
 }
 
 // sweep keeps backend servers that are gone while they have work, which counts
@@ -68,7 +86,7 @@
 	}
 }
 
-func (s server) gone(now time.Time) bool { return now.Sub(s.heard) >= announceExpiry }
+func (s server) gone(now time.Time) bool { return now.Sub(s.heard) >= s.expiry }
 
 // lookup returns a backend server that is not gone.
 func (g *registry) lookup(id string, now time.Time) (server, bool) {
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -35,6 +35,10 @@
 	HeaderHealth    = "Jackdawlane-Health"
 )
 
+// StatusAccepted is the informational status with which a guard acknowledges an
+// attempt without a body. One with a body is acknowledged by asking for the body.
+const StatusAccepted = http.StatusProcessing
+
 // Outcome is what a caller may conclude from a reply.
 type Outcome string
 
@@ -72,9 +76,13 @@
 	ReasonBodyTooLarge   Reason = "body-too-large"
 	ReasonNotConfigured  Reason = "not-configured"
 	ReasonStaleGuardTime Reason = "stale-guard-time"
-	ReasonDuplicateKey   Reason = "duplicate-key"
-	ReasonKeyReused      Reason = "key-reused"
-	ReasonKeyRegister    Reason = "key-register-unavailable"
+	// ReasonDeclined: the backend server received the work and stated that it did not run it.
+	ReasonDeclined Reason = "declined"
+	// ReasonFailed: the backend server ran the work and failed.
+	ReasonFailed       Reason = "failed"
+	ReasonDuplicateKey Reason = "duplicate-key"
+	ReasonKeyReused    Reason = "key-reused"
+	ReasonKeyRegister  Reason = "key-register-unavailable"
 )
 
 // DropProjectHeaders removes every header of the project from h.
--- a/node/main.go
+++ b/node/main.go
@@ -22,8 +22,9 @@
 	ExitSettings = 2
 )
 
-// Main runs the daemon with its command-line arguments and returns the exit code.
-func Main(args []string, stderr io.Writer) int {
+// Main runs the daemon with its command-line arguments, or one of the further ways to
+// run it, and returns the exit code.
+func Main(args []string, stderr io.Writer, further ...*cobra.Command) int {
 	var path string
 	command := &cobra.Command{
 		Use:           "jackdawlaned",
@@ -39,6 +40,7 @@
 	}
 	command.Flags().StringVar(&path, "settings", "", "INI file with the settings of the node")
 	_ = command.MarkFlagRequired("settings")
+	command.AddCommand(further...)
 	command.SetArgs(args)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/node/node.go
+++ b/node/node.go
@@ -88,7 +88,8 @@
 		View:         n.syncer.View,
 		Resolver:     entry.NewControlResolver(n.client.HTTPClient()),
 		Limits:       s.Limit,
-		RetryMinimum: retry.DefaultMinimum,
+		RetryShare:   retry.DefaultShare,
+		RetryMinimum: func() float64 { return retry.DefaultMinimum },
 		Keys:         n.keyClient(),
 	})
 	n.publishMetrics(build)
--- /dev/null
+++ b/observe/steering.go
@@ -0,0 +1,99 @@
+package observe
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/guard"
+	"github.com/jackdawlane/jackdawlane/health"
+)
+
+// Steering judges the backend servers of a guard by their own results only. It
+// needs no baseline from other nodes and takes no capacity away: work that must
+// not repeat goes elsewhere while another backend server can take it, and
+// idempotent work re-tests. It is safe for concurrent use.
+type Steering struct {
+	clock    func() time.Duration
+	mu       sync.Mutex
+	random   *rand.Rand
+	backends map[string]*steered
+}
+
+type steered struct {
+	filter   *health.Filter
+	retested time.Duration
+}
+
+// NewSteering returns a judge without results. The clock returns the time since
+// an arbitrary start.
+func NewSteering(clock func() time.Duration) *Steering {
+	return &Steering{
+		clock:    clock,
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		backends: make(map[string]*steered),
+	}
+}
+
+func (s *Steering) get(id string, now time.Duration) *steered {
+	b := s.backends[id]
+	if b == nil {
+		b = &steered{filter: health.NewFilter(health.DefaultFilterModel, now)}
+		s.backends[id] = b
+	}
+	return b
+}
+
+// Observe implements guard.Observer.
+func (s *Steering) Observe(d guard.Dispatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	if d.Result == guard.Shed {
+		return
+	}
+	s.get(d.BackendID, now).filter.Observe(now, d.Result == guard.Failed)
+}
+
+// Reset forgets a backend server, for instance because another process has its place.
+func (s *Steering) Reset(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.backends, id)
+}
+
+// Failing returns the probability that the backend server is failing now.
+func (s *Steering) Failing(id string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	return s.get(id, now).filter.Failing(now)
+}
+
+// State implements guard.Observer.
+func (s *Steering) State(id string) guard.Health {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	if s.get(id, now).filter.Suspect(now) {
+		return guard.Suspect
+	}
+	return guard.Healthy
+}
+
+// Announced implements guard.Observer. The judgement changes every few seconds,
+// too often for the directory.
+func (s *Steering) Announced(string) guard.Health { return guard.Healthy }
+
+// AdmitRetest implements guard.Observer.
+func (s *Steering) AdmitRetest(id string, idempotent bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	b := s.get(id, now)
+	if !health.AdmitRetest(now-b.retested, idempotent, s.random) {
+		return false
+	}
+	b.retested = now
+	return true
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -28,6 +28,9 @@
 	return &Budget{share: share, minimum: minimum, tokens: max(1, minimum), last: now}
 }
 
+// SetMinimum sets the retries per second that are allowed without traffic.
+func (b *Budget) SetMinimum(minimum float64) { b.minimum = minimum }
+
 // Request counts a first attempt, which earns a share of a retry.
 func (b *Budget) Request(now time.Duration) {
 	b.advance(now)
--- a/route/matcher.go
+++ b/route/matcher.go
@@ -103,7 +103,7 @@
 	for _, host := range []string{hostWithoutPort(host), ""} {
 		prefix := strings.TrimSuffix(path, "/")
 		for {
-			if r, ok := m.matchMethod(matchKey{organisation, host, prefix}, method); ok {
+			if r, ok := m.matchMethod(matchKey{organisation, host, prefix}, method, path); ok {
 				return r, true
 			}
 			slash := strings.LastIndexByte(prefix, '/')
@@ -116,8 +116,12 @@
 	return Route{}, false
 }
 
-func (m *Matcher) matchMethod(key matchKey, method string) (Route, bool) {
+// matchMethod returns the route of the key for a method.
+func (m *Matcher) matchMethod(key matchKey, method, path string) (Route, bool) {
 	for _, r := range m.shards[shardOf(key.organisation)][key] {
+		if r.SlashRequired && !strings.HasPrefix(path, r.PathPrefix) {
+			continue
+		}
 		if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
 			return *r, true
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -15,6 +15,8 @@
 	MinTimeout     = time.Millisecond
 	MaxTimeout     = time.Hour
 	DefaultTimeout = 30 * time.Second
+	// DefaultMaxAttempts bounds the backend servers that one request is sent to.
+	DefaultMaxAttempts = 3
 )
 
 // ErrInvalid marks a route whose fields break a rule.
@@ -33,6 +35,8 @@
 	Host string `json:"host,omitempty"`
 	// PathPrefix matches whole path segments; "/" matches every path.
 	PathPrefix string `json:"path_prefix"`
+	// SlashRequired keeps a prefix that ends with '/' from matching the path without it.
+	SlashRequired bool `json:"slash_required,omitempty"`
 	// Methods lists the matching methods; empty matches every method.
 	Methods []string `json:"methods,omitempty"`
 	// Pool names the pool that serves the requests.
@@ -41,6 +45,23 @@
 	Idempotent bool `json:"idempotent"`
 	// TimeoutMS is the time a request may take, in milliseconds; 0 means DefaultTimeout.
 	TimeoutMS int64 `json:"timeout_ms,omitempty"`
+	// TargetLatencyMS is the time in which an answer is of full use to the caller,
+	// in milliseconds; 0 means that none is stated.
+	TargetLatencyMS int64 `json:"target_latency_ms,omitempty"`
+	// Priority ranks the route against others; 0 is the highest.
+	Priority int `json:"priority,omitempty"`
+	// MaxAttempts bounds the backend servers to which one request may be sent;
+	// 0 means DefaultMaxAttempts.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Split shares the requests among pools by weight; empty sends all of them to Pool.
+	Split []Share `json:"split,omitempty"`
+}
+
+// Share is the part of a route's requests that goes to one pool.
+type Share struct {
+	Pool string `json:"pool"`
+	// Weight is relative to the other shares of the route.
+	Weight float64 `json:"weight"`
 }
 
 // Key returns the row key of the route: organisation and name.
@@ -54,6 +75,19 @@
 	return time.Duration(r.TimeoutMS) * time.Millisecond
 }
 
+// TargetLatency returns the time in which an answer is of full use, 0 when none is stated.
+func (r Route) TargetLatency() time.Duration {
+	return time.Duration(r.TargetLatencyMS) * time.Millisecond
+}
+
+// Attempts returns the number of backend servers to which one request may be sent.
+func (r Route) Attempts() int {
+	if r.MaxAttempts == 0 {
+		return DefaultMaxAttempts
+	}
+	return r.MaxAttempts
+}
+
 // Validate returns ErrInvalid with the first field that breaks a rule.
 func (r Route) Validate() error {
 	if !ValidName(r.Name) {
@@ -65,6 +99,12 @@
 	if !ValidName(r.Pool) {
 		return errors.Wrapf(ErrInvalid, "route %s: pool %q is not a valid name", r.Name, r.Pool)
 	}
+	if err := r.validateSplit(); err != nil {
+		return err
+	}
+	if r.TargetLatencyMS < 0 || r.Priority < 0 || r.MaxAttempts < 0 {
+		return errors.Wrapf(ErrInvalid, "route %s: target_latency_ms, priority and max_attempts must not be negative", r.Name)
+	}
 	if !strings.HasPrefix(r.PathPrefix, "/") {
 		return errors.Wrapf(ErrInvalid, "route %s: path_prefix %q does not start with '/'", r.Name, r.PathPrefix)
 	}
@@ -82,6 +122,20 @@
 	return nil
 }
 
+func (r Route) validateSplit() error {
+	total := 0.0
+	for _, share := range r.Split {
+		if !ValidName(share.Pool) || !(share.Weight >= 0) {
+			return errors.Wrapf(ErrInvalid, "route %s: split to %q with weight %g: want a pool and a weight of at least 0", r.Name, share.Pool, share.Weight)
+		}
+		total += share.Weight
+	}
+	if len(r.Split) > 0 && total == 0 {
+		return errors.Wrapf(ErrInvalid, "route %s: the weights of its split are all 0", r.Name)
+	}
+	return nil
+}
+
 // ValidName reports whether s may name a route, pool, service or organisation.
 func ValidName(s string) bool {
 	return len(s) <= MaxNameLength && namePattern.MatchString(s)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,8 @@
 	Limit    Limits
 	Ejection Ejection
 	Keys     Keys
+	Backend  Backend
+	Retry    Retry
 }
 
 // Node identifies a node and its place, and holds the addresses it listens on.
@@ -41,6 +43,9 @@
 	AnnounceAddress netip.AddrPort
 	// MetricsAddress serves expvar.
 	MetricsAddress netip.AddrPort
+	// ReadyAddress says whether the node takes callers' requests; only a node on
+	// a platform that asks has one.
+	ReadyAddress netip.AddrPort
 	// HopAdvertise and ControlAdvertise are what other nodes call; they default
 	// to HopAddress and ControlAddress.
 	HopAdvertise     netip.AddrPort
@@ -108,6 +113,22 @@
 	BatchInterval time.Duration
 }
 
+// Backend is the backend server of the same VM, where the platform states it.
+type Backend struct {
+	Service string
+	Address netip.AddrPort
+}
+
+// Retry sets the budget of retries that all nodes share.
+type Retry struct {
+	// Share is the retries allowed for each request of a service.
+	Share float64
+	// Spare is the number of further retries of a service that all nodes together may make in a window.
+	Spare int
+	// Window is the time over which Spare holds.
+	Window time.Duration
+}
+
 // Load reads and checks a settings file.
 // It returns ErrInvalid with one line that names file, section, key and what is allowed.
 func Load(path string) (Settings, error) {
@@ -144,10 +165,10 @@
 func (s *Settings) checkTogether(path string) error {
 	addresses := []netip.AddrPort{
 		s.Node.TrafficAddress, s.Node.HopAddress, s.Node.ControlAddress,
-		s.Node.AnnounceAddress, s.Node.MetricsAddress,
+		s.Node.AnnounceAddress, s.Node.MetricsAddress, s.Node.ReadyAddress,
 	}
 	for i, a := range addresses {
-		if slices.Contains(addresses[:i], a) {
+		if a.IsValid() && slices.Contains(addresses[:i], a) {
 			return errors.Wrapf(ErrInvalid, "%s: [node] address %s is used twice; want a different port for each", path, a)
 		}
 	}
--- a/telemetry/handler.go
+++ b/telemetry/handler.go
@@ -33,6 +33,15 @@
 	})
 }
 
+// Count counts the outcomes of next in m, without a span.
+func (m *Metrics) Count(name string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := &outcomeRecorder{ResponseWriter: w}
+		defer func() { m.CountRequest(name, recorder.outcome, recorder.reason) }()
+		next.ServeHTTP(recorder, r)
+	})
+}
+
 func endSpan(span trace.Span, recorder *outcomeRecorder) {
 	if span.IsRecording() {
 		span.SetAttributes(
