Draft: learn the incarnation of a guard from its replies

Cause: the directory states no incarnation, so each reading of a guard's clock counted as one of an earlier process and all non-idempotent work was refused as stale. Change: without a stated incarnation the reading itself names it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -271,7 +271,9 @@
 
 // resolve asks the guard about the attempt and fetches a retained answer.
 func (y *try) resolve() (attempt.State, *attempt.Answer) {
-	return y.resolveAt(y.backend.Guard, y.id)
+	g := y.backend.Guard
+	g.Incarnation = y.known.Incarnation
+	return y.resolveAt(g, y.id)
 }
 
 // resolveAt asks a guard about an attempt, which may be that of another request.
--- a/entry/readings.go
+++ b/entry/readings.go
@@ -39,7 +39,9 @@
 		return hop.GuardTime{}
 	}
 	last := v.(reading)
-	if time.Since(last.heard) > readingAge || last.guardTime.Incarnation != g.Incarnation {
+	// A directory that does not state incarnations leaves it to the guard to tell a reading of an earlier one.
+	other := g.Incarnation != 0 && last.guardTime.Incarnation != g.Incarnation
+	if time.Since(last.heard) > readingAge || other {
 		return hop.GuardTime{}
 	}
 	return last.guardTime
