--- a/entry/balancer.go
+++ b/entry/balancer.go
@@ -27,7 +27,7 @@
 	paths   *balance.Paths
 	bytes   *balance.Bytes
 	burst   int64
-	minimum func() float64
+	spare   func() retry.Spare
 	share   float64
 	retries map[string]*retry.Budget
 	pickers map[string]*balance.Picker
@@ -45,7 +45,7 @@
 		paths:   balance.NewPaths(),
 		bytes:   balance.NewBytes(0, rate, burst),
 		burst:   int64(burst),
-		minimum: c.RetryMinimum,
+		spare:   c.RetrySpare,
 		share:   c.RetryShare,
 		retries: make(map[string]*retry.Budget),
 		pickers: make(map[string]*balance.Picker),
@@ -73,10 +73,11 @@
 func (b *balancer) budget(service string) *retry.Budget {
 	budget := b.retries[service]
 	if budget == nil {
-		budget = retry.NewBudget(b.now(), b.share, b.minimum())
+		spare := b.spare()
+		budget = retry.NewBudget(b.now(), b.share, max(spare.PerSecond, spare.Burst))
 		b.retries[service] = budget
 	}
-	budget.SetMinimum(b.minimum())
+	budget.SetSpare(b.spare())
 	return budget
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,9 +34,9 @@
 	Resolver Resolver
 	// RetryShare is the retries allowed for each request of a service; 0 means retry.DefaultShare.
 	RetryShare float64
-	// RetryMinimum returns the retries per second of a service allowed without traffic; nil means none.
-	RetryMinimum func() float64
-	Limits       settings.Limits
+	// RetrySpare returns the retries of a service allowed beyond that; nil means none.
+	RetrySpare func() retry.Spare
+	Limits     settings.Limits
 	// Keys decides about requests with an idempotency key. Without it such a key has no meaning here.
 	Keys Keys
 	// Protocol is the interface to callers; nil means Native.
@@ -82,8 +82,8 @@
 	if c.RetryShare == 0 {
 		c.RetryShare = retry.DefaultShare
 	}
-	if c.RetryMinimum == nil {
-		c.RetryMinimum = func() float64 { return 0 }
+	if c.RetrySpare == nil {
+		c.RetrySpare = func() retry.Spare { return retry.Spare{} }
 	}
 	dial := exchange.DialTimeout
 	if c.AcceptTimeout > 0 {
--- a/guard/registry.go
+++ b/guard/registry.go
@@ -59,16 +59,6 @@
 	g.servers[b.ID] = server{backend: b, transport: transport, queue: queue, heard: now, instance: instance, expiry: g.expiry}
 }
 
-// remove forgets a backend server at once.
-func (g *registry) remove(id string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if s, ok := g.servers[id]; ok {
-		delete(g.servers, id)
-		closeIdle(s)
-	}
-}
-
 // sweep keeps backend servers that are gone while they have work, which counts
 // against the limit if they come back.
 func (g *registry) sweep(now time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -89,7 +89,7 @@
 		Resolver:     entry.NewControlResolver(n.client.HTTPClient()),
 		Limits:       s.Limit,
 		RetryShare:   retry.DefaultShare,
-		RetryMinimum: func() float64 { return retry.DefaultMinimum },
+		RetrySpare:   func() retry.Spare { return retry.Spare{PerSecond: retry.DefaultMinimum} },
 		Keys:         n.keyClient(),
 	})
 	n.publishMetrics(build)
