Re-test suspected backend servers with first attempts only; leave the caller's connection alone

Ruled out: lack of room (no queue at any guard). Change: a body in memory interrupts no connection; only work that has not failed yet may re-test, every 0.8 s while re-tests fail and every 0.15 s after one passed; entries remember the health on replies.

--- a/balance/load.go
+++ b/balance/load.go
@@ -30,6 +30,8 @@
 	HasLoad bool
 	// Reason is that of a refusal, otherwise empty.
 	Reason hop.Reason
+	// Suspect is set when the guard steers work away from the backend server.
+	Suspect bool
 }
 
 // backend is what this entry knows of one backend server.
@@ -80,7 +82,7 @@
 func (l *loads) report(now time.Duration, b *backend, r Reply) {
 	load, ok := r.Load, r.HasLoad && r.Load >= 0
 	switch {
-	case r.Reason == hop.ReasonSuspect:
+	case r.Suspect:
 		b.suspected = now + suspectTime
 	case r.Reason == hop.ReasonFull && (!ok || load < 1):
 		load, ok = refusedLoad, true
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -61,8 +61,9 @@
 	Tried map[string]hop.Reason
 	// Bytes is the expected size of request and reply.
 	Bytes int64
-	// Idempotent work re-tests backend servers that refused other work as suspect.
-	Idempotent bool
+	// Retest work goes to backend servers that refused other work as suspect; their
+	// guards decide which of it they take.
+	Retest bool
 }
 
 // Choice is the chosen backend server.
@@ -155,7 +156,7 @@
 		return tierNoPath
 	case tried:
 		return tierRefused
-	case m.Suspect, known != nil && now < known.suspected && !a.Idempotent:
+	case m.Suspect, known != nil && now < known.suspected && !a.Retest:
 		return tierSuspect
 	case m.State != membership.StateReady:
 		return tierStarting
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -132,6 +132,9 @@
 	if force {
 		h.Set(hop.HeaderForce, "true")
 	}
+	if y.mayRetest() {
+		h.Set(hop.HeaderRetest, "true")
+	}
 }
 
 // end records what the attempt showed of the backend server and the path to it.
@@ -145,6 +148,7 @@
 func (y *try) judge(reply *exchange.Reply, res *http.Response) *Refusal {
 	reason := hop.Reason(res.Header.Get(hop.HeaderReason))
 	y.ending.reply.Reason = reason
+	y.ending.reply.Suspect = res.Header.Get(hop.HeaderHealth) == string(hop.HealthSuspect)
 	if load, _, err := admission.ParseLoad(res.Header.Get(hop.HeaderLoad)); err == nil {
 		y.ending.reply.Load, y.ending.reply.HasLoad = load, true
 	}
--- a/entry/task.go
+++ b/entry/task.go
@@ -72,9 +72,10 @@
 // attemptAll makes attempts until one answers or none may follow.
 func (t *task) attemptAll(w http.ResponseWriter, r *http.Request) *Refusal {
 	refused := NotRun(http.StatusServiceUnavailable, hop.ReasonNoBackend, "no backend server of the pool can be used")
-	attempt := balance.Attempt{Tried: make(map[string]hop.Reason), Bytes: t.size + t.body.length(r), Idempotent: t.route.Idempotent}
+	attempt := balance.Attempt{Tried: make(map[string]hop.Reason), Bytes: t.size + t.body.length(r)}
 	allSuspect := true
 	for t.mayTry() {
+		attempt.Retest = t.mayRetest()
 		choice, ok := t.choose(t.attempts+1, t.entry.candidates(t.pool), attempt)
 		if !ok && !t.waitForRoom(r.Context(), attempt.Tried) {
 			break
@@ -104,6 +105,10 @@
 	return refused
 }
 
+// mayRetest reports whether the request may test a suspected backend server: it can be
+// repeated, and did not fail before.
+func (t *task) mayRetest() bool { return t.route.Idempotent && t.sent == 0 }
+
 // mayTry reports whether the number of attempts allows another one.
 func (t *task) mayTry() bool {
 	if t.entry.config.WaitForRoom {
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -24,6 +25,8 @@
 	broken  atomic.Bool
 	// started is set by the first Read.
 	started atomic.Bool
+	// inMemory is set when the reader does not read from a connection.
+	inMemory bool
 }
 
 // Read implements io.Reader. After Close it returns http.ErrBodyReadAfterClose.
@@ -68,9 +71,10 @@
 }
 
 // Interrupt ends a Read in progress on a body of the handler of w that has not
-// been read to its end.
+// been read to its end. A body in memory needs none, and the connection of the
+// handler must stay usable for another attempt.
 func (b *Body) Interrupt(w http.ResponseWriter) {
-	if !b.ended.Load() {
+	if !b.inMemory && !b.ended.Load() {
 		http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -88,7 +92,8 @@
 	out.TransferEncoding = nil
 	out.GetBody = nil
 	out.Trailer = announced(in.Trailer)
-	wrapped := &Body{reader: body, atEOF: func() { copyValues(out.Trailer, in.Trailer) }}
+	_, inMemory := body.(*bytes.Reader)
+	wrapped := &Body{reader: body, inMemory: inMemory, atEOF: func() { copyValues(out.Trailer, in.Trailer) }}
 	out.Body = wrapped
 	if in.ContentLength == 0 {
 		// Without this a POST with an empty body would be sent chunked.
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -44,7 +44,7 @@
 	switch g.config.Protocol.Judge(out, res) {
 	case Declined, Misdirected:
 		g.observe(ctx, j, s, Shed, span)
-		g.log(j, s, hop.ReasonDeclined, res.StatusCode, span)
+		g.log(j, s, hop.OutcomeNotRun, hop.ReasonDeclined, res.StatusCode, span)
 		g.refuse(w, j, hop.ReasonDeclined)
 		return
 	case Foreign:
@@ -68,6 +68,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	g.observe(ctx, j, s, resultOf(res.StatusCode), span)
+	g.log(j, s, hop.OutcomeAnswer, "", res.StatusCode, span)
 }
 
 // holdShort reads a short answer to its end, so that one that breaks off is reported as lost.
@@ -91,13 +92,15 @@
 	return nil
 }
 
-// log writes the line of a dispatch that gave no answer.
-func (g *Guard) log(j job, s server, reason hop.Reason, status int, span *backendTime) {
+// log writes the line of a dispatch: which process got the work, how it was judged, and what came back.
+func (g *Guard) log(j job, s server, outcome hop.Outcome, reason hop.Reason, status int, span *backendTime) {
 	if g.config.Logger == nil {
 		return
 	}
+	load := s.queue.load()
 	g.config.Logger.Info("dispatch",
-		"attempt", j.id, "instance", s.instance, "service", j.service, "reason", string(reason),
+		"id", j.requestID, "instance", s.instance, "service", j.service, "retest", j.retest, "forced", j.force,
+		"running", load.Running, "queued", load.Queued, "outcome", string(outcome), "reason", string(reason),
 		"status", status, "health", string(g.config.Observer.State(j.backendID)),
 		"ms", time.Since(span.start).Milliseconds())
 }
@@ -130,7 +133,7 @@
 	if reason == hop.ReasonUnreachable {
 		reason = hop.ReasonAnswerLost
 	}
-	g.log(j, s, reason, 0, span)
+	g.log(j, s, hop.OutcomeUnknown, reason, 0, span)
 	status := http.StatusBadGateway
 	if reason == hop.ReasonTimeout {
 		status = http.StatusGatewayTimeout
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -104,6 +104,7 @@
 		g.fail(w, j, http.StatusBadRequest, hop.OutcomeNotRun, hop.ReasonBadRequest)
 		return
 	}
+	j.requestID = g.config.Protocol.RequestID(r.Header)
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), j.deadline)
 	defer cancel()
 	known, ok := g.clock.at(j.reading)
@@ -221,7 +222,7 @@
 	if state == Healthy || j.retest || (state == Suspect && j.force) {
 		return ""
 	}
-	if g.config.Observer.AdmitRetest(j.backendID, j.idempotent) {
+	if g.config.Observer.AdmitRetest(j.backendID, j.idempotent && j.mayRetest) {
 		j.retest = true
 		return ""
 	}
--- a/guard/plug.go
+++ b/guard/plug.go
@@ -1,5 +1,7 @@
 package guard
 
+import "github.com/jackdawlane/jackdawlane/hop"
+
 import "time"
 
 // Health is the judgement on a backend server.
@@ -8,7 +10,7 @@
 // Judgements on a backend server.
 const (
 	Healthy Health = "healthy"
-	Suspect Health = "suspect"
+	Suspect Health = hop.HealthSuspect
 	Ejected Health = "ejected"
 )
 
--- a/guard/protocol.go
+++ b/guard/protocol.go
@@ -31,6 +31,8 @@
 
 // Protocol is the interface between the guard and backend servers.
 type Protocol interface {
+	// RequestID returns the name of the request in logs; it may be empty.
+	RequestID(h http.Header) string
 	// Prepare sets the headers that the backend server expects.
 	Prepare(h http.Header, d Delivery)
 	// Judge tells what a response to the request means.
@@ -40,6 +42,9 @@
 // Native is the project's own interface to backend servers.
 type Native struct{}
 
+// RequestID implements Protocol.
+func (Native) RequestID(http.Header) string { return "" }
+
 // Prepare implements Protocol.
 func (Native) Prepare(h http.Header, d Delivery) {
 	h.Set("Request-Timeout", strconv.FormatFloat(d.Left.Seconds(), 'f', 3, 64))
--- a/guard/work.go
+++ b/guard/work.go
@@ -19,13 +19,17 @@
 
 // job is an attempt as the hop headers describe it.
 type job struct {
-	id           string
+	id string
+	// requestID names the request in logs.
+	requestID    string
 	backendID    string
 	service      string
 	organisation string
 	route        string
 	idempotent   bool
 	force        bool
+	// mayRetest is set for work with which a suspected backend server may be tested.
+	mayRetest bool
 	// reading is that of the guard's clock which the attempt carries.
 	reading  hop.GuardTime
 	deadline time.Time
@@ -42,6 +46,7 @@
 		route:        h.Get(hop.HeaderRoute),
 		idempotent:   h.Get(hop.HeaderIdempotent) == "true",
 		force:        h.Get(hop.HeaderForce) == "true",
+		mayRetest:    h.Get(hop.HeaderRetest) == "true",
 	}
 	var ok bool
 	if j.reading, ok = hop.AttemptGuardTime(j.id); !ok {
--- a/health/filter.go
+++ b/health/filter.go
@@ -18,19 +18,24 @@
 // work. Work that fails at a sound backend server is mostly the fault of the
 // request itself.
 var DefaultFilterModel = FilterModel{
-	MeanSound:       9 * time.Second,
-	MeanFailing:     3 * time.Second,
-	SoundFailures:   0.02,
-	FailingFailures: 0.7,
+	MeanSound:       14 * time.Second,
+	MeanFailing:     6 * time.Second,
+	SoundFailures:   0.03,
+	FailingFailures: 0.75,
 }
 
 const (
 	// steerAbove is the probability of failing from which work that must not
 	// repeat goes elsewhere.
-	steerAbove = 0.1
+	steerAbove = 0.05
 	// steerFor bounds the time for which a failure makes a backend server
 	// suspect; without newer results nothing more is known about it.
 	steerFor = 4 * time.Second
+	// failedGap is the time between two re-tests while they fail: each costs a caller a
+	// second attempt, and the recovery is noticed within about this time.
+	failedGap = 800 * time.Millisecond
+	// passedGap is the time to the next re-test after one that succeeded.
+	passedGap = 150 * time.Millisecond
 )
 
 // Filter estimates the probability that one backend server is failing now, from
@@ -43,6 +48,8 @@
 	// failedAt is the time of the last failure; failed is false before the first.
 	failedAt time.Duration
 	failed   bool
+	// passed is set when the last result was a success.
+	passed bool
 }
 
 // NewFilter returns the filter of a backend server that has just started and is
@@ -63,9 +70,19 @@
 	return f.failed && now-f.failedAt < steerFor && f.Failing(now) > steerAbove
 }
 
+// RetestDue reports whether work that may be repeated should test a suspected backend
+// server. sinceLast is the time since the last test was sent.
+func (f *Filter) RetestDue(sinceLast time.Duration) bool {
+	if f.passed {
+		return sinceLast >= passedGap
+	}
+	return sinceLast >= failedGap
+}
+
 // Observe takes the result of work that ended at now.
 func (f *Filter) Observe(now time.Duration, failed bool) {
 	f.advance(now)
+	f.passed = !failed
 	if failed {
 		f.failed, f.failedAt = true, now
 	}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -12,14 +12,16 @@
 
 // Request headers from entry to guard.
 const (
-	HeaderAttempt        = "Jackdawlane-Attempt"
-	HeaderBackendServer  = "Jackdawlane-Backend-Server"
-	HeaderService        = "Jackdawlane-Service"
-	HeaderOrganisation   = "Jackdawlane-Organisation"
-	HeaderRoute          = "Jackdawlane-Route"
-	HeaderIdempotent     = "Jackdawlane-Idempotent"
-	HeaderTimeoutMS      = "Jackdawlane-Timeout-Ms"
-	HeaderForce          = "Jackdawlane-Force"
+	HeaderAttempt       = "Jackdawlane-Attempt"
+	HeaderBackendServer = "Jackdawlane-Backend-Server"
+	HeaderService       = "Jackdawlane-Service"
+	HeaderOrganisation  = "Jackdawlane-Organisation"
+	HeaderRoute         = "Jackdawlane-Route"
+	HeaderIdempotent    = "Jackdawlane-Idempotent"
+	HeaderTimeoutMS     = "Jackdawlane-Timeout-Ms"
+	HeaderForce         = "Jackdawlane-Force"
+	// HeaderRetest marks work with which a suspected backend server may be tested.
+	HeaderRetest         = "Jackdawlane-Retest"
 	HeaderConfigVersion  = "Jackdawlane-Config-Version"
 	HeaderIdempotencyKey = "Jackdawlane-Idempotency-Key"
 	// HeaderCancel marks a request that only cancels the attempt it names, because its caller has gone.
@@ -52,6 +54,9 @@
 	OutcomeUnknown Outcome = "unknown"
 )
 
+// HealthSuspect is the health of a backend server whose guard steers work away from it.
+const HealthSuspect = "suspect"
+
 // Reason says why work did not run or is unknown.
 type Reason string
 
--- a/observe/steering.go
+++ b/observe/steering.go
@@ -1,7 +1,6 @@
 package observe
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,7 +15,6 @@
 type Steering struct {
 	clock    func() time.Duration
 	mu       sync.Mutex
-	random   *rand.Rand
 	backends map[string]*steered
 }
 
@@ -30,7 +28,6 @@
 func NewSteering(clock func() time.Duration) *Steering {
 	return &Steering{
 		clock:    clock,
-		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		backends: make(map[string]*steered),
 	}
 }
@@ -91,7 +88,7 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	b := s.get(id, now)
-	if !health.AdmitRetest(now-b.retested, idempotent, s.random) {
+	if !idempotent || !b.filter.RetestDue(now-b.retested) {
 		return false
 	}
 	b.retested = now
