Prefer a suspected server of the region to another region; bound far attempts

Change: guards state the probability that a suspected server is failing; below 0.4 it gets the work before another region does. At most two far attempts a request.

--- a/balance/load.go
+++ b/balance/load.go
@@ -32,6 +32,8 @@
 	Reason hop.Reason
 	// Suspect is set when the guard steers work away from the backend server.
 	Suspect bool
+	// Failing is the probability that a suspected backend server fails work, 0 to 1.
+	Failing float64
 }
 
 // backend is what this entry knows of one backend server.
@@ -41,6 +43,7 @@
 	reported  time.Duration
 	known     bool
 	suspected time.Duration // until
+	failing   float64       // while suspected
 	seen      time.Duration
 	// sent is the number of attempts since the last report.
 	sent int
@@ -84,6 +87,7 @@
 	switch {
 	case r.Suspect:
 		b.suspected = now + suspectTime
+		b.failing = r.Failing
 	case r.Reason == hop.ReasonFull && (!ok || load < 1):
 		load, ok = refusedLoad, true
 	}
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -21,6 +21,11 @@
 	// spillGain is how much lower the load of the farther ring must be, so that
 	// traffic does not alternate between rings of similar load.
 	spillGain = 0.25
+	// farRisk is how much more likely a suspected backend server of the region must be
+	// to fail before the work goes to another region, whose links are billed by volume.
+	farRisk = 0.4
+	// maxFar bounds the attempts of one request in other regions.
+	maxFar = 2
 )
 
 // Ring is the distance of a backend server from the entry.
@@ -61,6 +66,8 @@
 	Tried map[string]hop.Reason
 	// Bytes is the expected size of request and reply.
 	Bytes int64
+	// Far is the number of attempts in other regions made for the request.
+	Far int
 	// Retest work goes to backend servers that refused other work as suspect; their
 	// guards decide which of it they take.
 	Retest bool
@@ -98,6 +105,9 @@
 		if best == nil {
 			continue
 		}
+		if near := p.nearSuspect(groups); t == tierReady && near != nil && p.ring(best) == RingOther {
+			best, t = near, tierSuspect
+		}
 		p.begin(now, best, a)
 		force := t == tierSuspect || t == tierRefused || t == tierEjected
 		return Choice{Backend: *best, Ring: p.ring(best), Force: force}, true
@@ -105,6 +115,23 @@
 	return Choice{}, false
 }
 
+// nearSuspect returns the suspected backend server of the region that is least likely
+// to fail, nil when all of them are too likely to.
+func (p *Picker) nearSuspect(groups *[tiers]grouped) *membership.Backend {
+	var best *membership.Backend
+	risk := farRisk
+	for _, t := range []tier{tierSuspect, tierRefused} {
+		for _, ring := range []Ring{RingDataCentre, RingRegion} {
+			for _, m := range groups[t][ring] {
+				if known := p.loads.byID[m.ID]; known != nil && known.failing < risk {
+					best, risk = m, known.failing
+				}
+			}
+		}
+	}
+	return best
+}
+
 // End records the end of an attempt.
 func (p *Picker) End(now time.Duration, id string, r Reply) {
 	b := p.loads.get(now, id)
@@ -132,7 +159,7 @@
 
 func (p *Picker) group(now time.Duration, candidates []membership.Backend, a Attempt) *[tiers]grouped {
 	var groups [tiers]grouped
-	far := p.bytes.Allows(now, a.Bytes)
+	far := p.bytes.Allows(now, a.Bytes) && a.Far < maxFar
 	for i := range candidates {
 		m := &candidates[i]
 		t, r := p.tier(now, m, a), p.ring(m)
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -98,7 +98,7 @@
 	for range all {
 		c, _ := p.Pick(0, r, all, Attempt{Tried: tried})
 		assert.Assert(t, !c.Force)
-		p.End(0, c.Backend.ID, Reply{Reason: hop.ReasonSuspect})
+		p.End(0, c.Backend.ID, Reply{Reason: hop.ReasonSuspect, Suspect: true})
 		tried[c.Backend.ID] = hop.ReasonSuspect
 	}
 	c, ok := p.Pick(0, r, all, Attempt{Tried: tried})
@@ -132,3 +132,29 @@
 		assert.Assert(t, e >= 0 && e <= maxLoad, "load %v gives %v", load, e)
 	}
 }
+
+// Guards against traffic to another region for work that a backend server of the region,
+// suspected for one failure, would most likely have done.
+func TestSuspectOfTheRegionBeforeAnotherRegion(t *testing.T) {
+	all := []membership.Backend{server(1, "r1", "r1a"), server(2, "r1", "r1b"), server(3, "r2", "r2a")}
+	for _, c := range []struct {
+		failing float64
+		want    string
+	}{{0.2, "s@2"}, {0.9, "s@3"}} {
+		p, r := newPicker(1000), rng()
+		tried := map[string]hop.Reason{"s@1": hop.ReasonSuspect, "s@2": hop.ReasonSuspect}
+		p.End(0, "s@1", Reply{Reason: hop.ReasonSuspect, Suspect: true, Failing: 0.95})
+		p.End(0, "s@2", Reply{Reason: hop.ReasonSuspect, Suspect: true, Failing: c.failing})
+		choice, ok := p.Pick(0, r, all, Attempt{Tried: tried})
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Backend.ID, c.want)
+		assert.Equal(t, choice.Force, c.want == "s@2")
+	}
+}
+
+// Guards against one request that is sent to other regions again and again.
+func TestFarAttemptsAreBounded(t *testing.T) {
+	p, r := newPicker(1000), rng()
+	_, ok := p.Pick(0, r, []membership.Backend{server(3, "r2", "r2a")}, Attempt{Far: maxFar})
+	assert.Assert(t, !ok)
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -148,7 +148,8 @@
 func (y *try) judge(reply *exchange.Reply, res *http.Response) *Refusal {
 	reason := hop.Reason(res.Header.Get(hop.HeaderReason))
 	y.ending.reply.Reason = reason
-	y.ending.reply.Suspect = res.Header.Get(hop.HeaderHealth) == string(hop.HealthSuspect)
+	y.ending.reply.Suspect = res.Header.Get(hop.HeaderHealth) == hop.HealthSuspect
+	y.ending.reply.Failing = failing(res.Header.Get(hop.HeaderFailing))
 	if load, _, err := admission.ParseLoad(res.Header.Get(hop.HeaderLoad)); err == nil {
 		y.ending.reply.Load, y.ending.reply.HasLoad = load, true
 	}
@@ -165,6 +166,16 @@
 	return y.lost()
 }
 
+// failing reads a probability in thousandths. Without a valid one a suspected
+// backend server is taken to fail all work.
+func failing(text string) float64 {
+	n, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || n > 1000 {
+		return 1
+	}
+	return float64(n) / 1000
+}
+
 // answered delivers an answer, or holds back the failure of work that may be repeated.
 func (y *try) answered(reply *exchange.Reply, res *http.Response) *Refusal {
 	if !y.entry.config.HoldAnswers {
--- a/entry/http_test.go
+++ b/entry/http_test.go
@@ -235,6 +235,7 @@
 func (o *observer) Observe(guard.Dispatch)    {}
 func (o *observer) State(string) guard.Health { return o.state.Load().(guard.Health) }
 
+func (o *observer) Failing(string) float64           { return 1 }
 func (o *observer) Announced(id string) guard.Health { return o.State(id) }
 func (o *observer) AdmitRetest(string, bool) bool    { return false }
 
--- a/entry/task.go
+++ b/entry/task.go
@@ -43,6 +43,8 @@
 	key *keyUse
 	// attempts counts the attempts made, sent those that may have reached a backend server.
 	attempts, sent int
+	// far counts the attempts in other regions.
+	far int
 	// server is the node whose backend server was tried last.
 	server string
 	// status is that of the reply to the caller.
@@ -75,7 +77,7 @@
 	attempt := balance.Attempt{Tried: make(map[string]hop.Reason), Bytes: t.size + t.body.length(r)}
 	allSuspect := true
 	for t.mayTry() {
-		attempt.Retest = t.mayRetest()
+		attempt.Retest, attempt.Far = t.mayRetest(), t.far
 		choice, ok := t.choose(t.attempts+1, t.entry.candidates(t.pool), attempt)
 		if !ok && !t.waitForRoom(r.Context(), attempt.Tried) {
 			break
@@ -84,6 +86,9 @@
 			continue
 		}
 		t.attempts++
+		if choice.Ring == balance.RingOther {
+			t.far++
+		}
 		// Suspicion alone takes no capacity away, so the last attempt does not heed it.
 		choice.Force = choice.Force || t.attempts == t.route.Attempts() && allSuspect && !t.entry.config.WaitForRoom
 		next := t.attempt(w, r, choice, attempt.Bytes)
@@ -183,6 +188,6 @@
 	}
 	logger.Info("request",
 		"id", t.requestID, "route", t.route.Name, "version", t.version, "service", t.pool.Service,
-		"server", t.server, "attempts", t.attempts, "outcome", string(outcome), "reason", string(reason),
+		"server", t.server, "attempts", t.attempts, "far", t.far, "outcome", string(outcome), "reason", string(reason),
 		"status", t.status, "ms", time.Since(t.received).Milliseconds())
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -258,6 +259,9 @@
 	w.WriteHeader(status)
 }
 
+// thousand is the unit of a probability in a header.
+const thousand = 1000
+
 // stamp sets the reply headers of the hop.
 func (g *Guard) stamp(h http.Header, j job, o hop.Outcome) {
 	if s, ok := g.registry.lookup(j.backendID, time.Now()); ok {
@@ -265,5 +269,10 @@
 	}
 	h.Set(hop.HeaderOutcome, string(o))
 	h.Set(hop.HeaderGuardTime, g.clock.read().String())
-	h.Set(hop.HeaderHealth, string(g.config.Observer.State(j.backendID)))
+	health := g.config.Observer.State(j.backendID)
+	h.Set(hop.HeaderHealth, string(health))
+	if health == Suspect {
+		failing := int(thousand * g.config.Observer.Failing(j.backendID))
+		h.Set(hop.HeaderFailing, strconv.Itoa(failing))
+	}
 }
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -223,6 +223,8 @@
 
 func (o *steeringObserver) State(string) Health { return o.state }
 
+func (o *steeringObserver) Failing(string) float64 { return 1 }
+
 func (o *steeringObserver) AdmitRetest(_ string, idempotent bool) bool {
 	if idempotent {
 		o.retests++
--- a/guard/plug.go
+++ b/guard/plug.go
@@ -42,6 +42,9 @@
 	Observe(d Dispatch)
 	// State returns the judgement in force now.
 	State(backendID string) Health
+	// Failing returns the probability that the backend server is failing now, 1 for
+	// an observer that only knows the judgement.
+	Failing(backendID string) float64
 	// Announced returns the judgement for the directory, which changes rarely.
 	Announced(backendID string) Health
 	// AdmitRetest reports whether work goes to a suspected or ejected backend
@@ -55,6 +58,8 @@
 func (noObserver) Observe(Dispatch)    {}
 func (noObserver) State(string) Health { return Healthy }
 
+func (noObserver) Failing(string) float64 { return 0 }
+
 func (noObserver) Announced(string) Health { return Healthy }
 
 func (noObserver) AdmitRetest(string, bool) bool { return false }
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -35,6 +35,8 @@
 	HeaderGuardTime = "Jackdawlane-Guard-Time"
 	HeaderLoad      = "Jackdawlane-Load"
 	HeaderHealth    = "Jackdawlane-Health"
+	// HeaderFailing is the probability that the backend server is failing, in thousandths.
+	HeaderFailing = "Jackdawlane-Failing"
 )
 
 // StatusAccepted is the informational status with which a guard acknowledges an
--- a/observe/states.go
+++ b/observe/states.go
@@ -34,6 +34,14 @@
 	return guard.Healthy
 }
 
+// Failing implements guard.Observer.
+func (o *Observer) Failing(backendID string) float64 {
+	if o.State(backendID) == guard.Healthy {
+		return 0
+	}
+	return 1
+}
+
 // Announced implements guard.Observer.
 func (o *Observer) Announced(backendID string) guard.Health {
 	s, ok := (*o.states.Load())[backendID]
--- a/observe/steering.go
+++ b/observe/steering.go
@@ -59,7 +59,7 @@
 	delete(s.backends, id)
 }
 
-// Failing returns the probability that the backend server is failing now.
+// Failing implements guard.Observer.
 func (s *Steering) Failing(id string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
