--- a/directory/publisher.go
+++ b/directory/publisher.go
@@ -122,7 +122,7 @@
 	}
 	if err := p.write(ctx, now.wanted, found); err != nil {
 		now.backoff = min(max(2*now.backoff, minWriteBackoff), maxWriteBackoff)
-		p.logger.Warn("record not written", "err", err, "retry_ms", now.backoff.Milliseconds())
+		p.logger.Warn("record not written", "err", err.Error(), "retry_ms", now.backoff.Milliseconds())
 		return now.backoff
 	}
 	p.logger.Info("record written", "record", describe(now.wanted))
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -65,7 +65,7 @@
 		if err != nil {
 			if lostAt.IsZero() {
 				lostAt = time.Now()
-				logger.Warn("store lost", "kind", name, "err", err)
+				logger.Warn("store lost", "kind", name, "err", err.Error())
 			}
 			sleep(ctx, f.pause())
 			continue
@@ -98,6 +98,9 @@
 		f.listed = false
 		return Batch{Revision: f.revision}, nil
 	case err != nil:
+		// A watch that began while the store dropped history may never hear of a change
+		// before it, so the position counts only as long as watches end well.
+		f.listed = false
 		return Batch{}, err
 	}
 	f.backoff = 0
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -50,7 +50,8 @@
 }
 
 // Guards against a follower that stops at an outage or at lost history, reads what an
-// event already told, or goes on from a revision that it has not seen.
+// event already told, or goes on watching after a watch that was cut: the store may have
+// dropped the changes in between without a word.
 func TestFollow(t *testing.T) {
 	down := errors.New("down")
 	s := &script{done: make(chan struct{}), steps: []step{
@@ -59,7 +60,7 @@
 		{batch: Batch{Revision: 4, Objects: []Object{{Name: "a"}}}},
 		{batch: Batch{Revision: 4}},
 		{err: down},
-		{batch: Batch{Revision: 5, Objects: []Object{{Name: "b"}}}},
+		{batch: Batch{Whole: true, Revision: 5, Objects: []Object{{Name: "b"}}}},
 		{err: ErrHistoryGone},
 		{batch: Batch{Whole: true, Revision: 8, Objects: []Object{{Name: "c"}}}},
 	}}
@@ -78,6 +79,6 @@
 	<-s.done
 	cancel()
 	<-finished
-	assert.DeepEqual(t, s.calls, []string{"list", "list", "watch 3", "watch 4", "watch 4", "watch 4", "watch 5", "list", "watch 8"})
+	assert.DeepEqual(t, s.calls, []string{"list", "list", "watch 3", "watch 4", "watch 4", "list", "watch 5", "list", "watch 8"})
 	assert.DeepEqual(t, applied, []string{"a", "b", "c"})
 }
