Let guards hold the budget of retries; test suspected servers only with work that may be sent again

Ruled out: the budget of the service as a whole (80 of 240 repeats used). Change: the guard of each backend server holds a part and counts all that arrives.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -23,7 +23,7 @@
 	spillGain = 0.25
 	// farRisk is how much more likely a suspected backend server of the region must be
 	// to fail before the work goes to another region, whose links are billed by volume.
-	farRisk = 0.4
+	farRisk = 0.3
 	// maxFar bounds the attempts of one request in other regions.
 	maxFar = 2
 )
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -132,6 +132,9 @@
 	if force {
 		h.Set(hop.HeaderForce, "true")
 	}
+	if y.arrivals > 0 {
+		h.Set(hop.HeaderRepeat, "true")
+	}
 	if y.mayRetest() {
 		h.Set(hop.HeaderRetest, "true")
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,8 @@
 	View func() *membership.View
 	// Resolver asks guards about lost answers.
 	Resolver Resolver
+	// GuardsLimitRetries leaves the budget of retries to the guards.
+	GuardsLimitRetries bool
 	// RetryShare is the retries allowed for each request of a service; 0 means retry.DefaultShare.
 	RetryShare float64
 	// RetrySpare returns the retries of a service allowed beyond that; nil means none.
--- a/entry/task.go
+++ b/entry/task.go
@@ -41,8 +41,9 @@
 	started time.Time
 	// key is nil for a request without an idempotency key.
 	key *keyUse
-	// attempts counts the attempts made, sent those that may have reached a backend server.
-	attempts, sent int
+	// attempts counts the attempts made, arrivals those that may have reached a backend
+	// server, and sent those of them that may have run.
+	attempts, arrivals, sent int
 	// far counts the attempts in other regions.
 	far int
 	// server is the node whose backend server was tried last.
@@ -112,7 +113,9 @@
 
 // mayRetest reports whether the request may test a suspected backend server: it can be
 // repeated, and did not fail before.
-func (t *task) mayRetest() bool { return t.route.Idempotent && t.sent == 0 }
+func (t *task) mayRetest() bool {
+	return t.route.Idempotent && t.arrivals == 0 && t.route.Attempts() > 1
+}
 
 // mayTry reports whether the number of attempts allows another one.
 func (t *task) mayTry() bool {
@@ -123,9 +126,10 @@
 }
 
 // waitForRoom waits before all backend servers are tried again, except those that
-// received the work. It reports false when the answer would come too late.
+// received the work. It reports false when the answer would come too late, or when
+// the failure of an earlier attempt can be reported at once.
 func (t *task) waitForRoom(ctx context.Context, tried map[string]hop.Reason) bool {
-	if !t.entry.config.WaitForRoom || time.Now().Add(roomPause).After(t.usefulUntil()) {
+	if t.sent > 0 || !t.entry.config.WaitForRoom || time.Now().Add(roomPause).After(t.usefulUntil()) {
 		return false
 	}
 	sleep(ctx, roomPause)
@@ -157,16 +161,24 @@
 	if f.final || ctx.Err() != nil || !t.body.replayable() || !time.Now().Before(t.deadline) {
 		return false
 	}
-	service := t.pool.Service
 	if f.Outcome != hop.OutcomeNotRun {
 		t.sent++
-		return t.route.Idempotent && t.sent < t.route.Attempts() && t.entry.balancer.allowRetry(service)
+		t.arrivals++
+		return t.route.Idempotent && t.sent < t.route.Attempts() && t.allowRetry()
 	}
-	if f.Reason == hop.ReasonDeclined && !t.entry.balancer.allowRetry(service) {
-		return false
+	switch f.Reason {
+	case hop.ReasonDeclined:
+		t.arrivals++
+		return t.allowRetry()
+	case hop.ReasonFull, hop.ReasonTimeout:
+		return t.entry.config.WaitForRoom || time.Since(t.started) < retryWithin
 	}
-	loaded := f.Reason == hop.ReasonFull || f.Reason == hop.ReasonTimeout
-	return !loaded || t.entry.config.WaitForRoom || time.Since(t.started) < retryWithin
+	return true
+}
+
+// allowRetry takes a retry from the budget of the entry, if it keeps one.
+func (t *task) allowRetry() bool {
+	return t.entry.config.GuardsLimitRetries || t.entry.balancer.allowRetry(t.pool.Service)
 }
 
 // refuse replies to the caller in the entry's own name.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawlane/jackdawlane/attempt"
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/membership"
+	"github.com/jackdawlane/jackdawlane/retry"
 )
 
 // Config of a guard.
@@ -40,7 +41,12 @@
 	HoldAnswers bool
 	// Acknowledge tells the entry of each attempt when it arrives.
 	Acknowledge bool
-	// Logger gets a line for each dispatch that fails; nil logs none.
+	// RepeatShare is the repeats allowed for each request that a backend server receives
+	// for the first time; 0 means that entries alone limit them.
+	RepeatShare float64
+	// RepeatSpare returns the repeats of a service allowed here beyond that.
+	RepeatSpare func(service string) retry.Spare
+	// Logger gets a line for each dispatch; nil logs none.
 	Logger *log.Logger
 }
 
@@ -50,6 +56,7 @@
 	registry *registry
 	calls    *calls
 	clock    attemptClock
+	repeats  repeats
 	stopping atomic.Bool
 }
 
@@ -127,6 +134,10 @@
 		g.refuse(w, j, reason)
 		return
 	}
+	if !g.allowRepeat(j) {
+		g.refuse(w, j, hop.ReasonRetryBudget)
+		return
+	}
 	http.NewResponseController(w).EnableFullDuplex()
 	g.serve(ctx, cancel, w, r, j)
 }
--- /dev/null
+++ b/guard/repeats_test.go
@@ -0,0 +1,40 @@
+package guard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/retry"
+)
+
+// Guards against repeats beyond the budget that the guards of a service share, and
+// against a burst of them that is refused although the window has room.
+func TestRepeatsStayWithinTheSharedBudget(t *testing.T) {
+	const guards, spare, share, window = 12, 58.0, 0.2, 10 * time.Second
+	var now time.Duration
+	var all []*Guard
+	for range guards {
+		g := New(Config{
+			RepeatShare: share,
+			RepeatSpare: func(string) retry.Spare { return retry.SpareWithin(spare, window, guards) },
+		})
+		g.registry.clock = func() time.Duration { return now }
+		all = append(all, g)
+	}
+	firsts, repeats := 0, 0
+	for ; now < window; now += 100 * time.Millisecond {
+		for i, g := range all {
+			if int(now/(100*time.Millisecond))%4 == i%4 {
+				firsts++
+				assert.Assert(t, g.allowRepeat(job{service: "s"}))
+			}
+			for g.allowRepeat(job{service: "s", repeat: true}) {
+				repeats++
+			}
+		}
+	}
+	assert.Assert(t, float64(repeats) <= share*float64(firsts)+spare, "%d repeats of %d", repeats, firsts)
+	assert.Assert(t, float64(repeats) > share*float64(firsts), "%d repeats of %d", repeats, firsts)
+}
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -21,7 +21,9 @@
 	HeaderTimeoutMS     = "Jackdawlane-Timeout-Ms"
 	HeaderForce         = "Jackdawlane-Force"
 	// HeaderRetest marks work with which a suspected backend server may be tested.
-	HeaderRetest         = "Jackdawlane-Retest"
+	HeaderRetest = "Jackdawlane-Retest"
+	// HeaderRepeat marks an attempt of a request that may have reached a backend server before.
+	HeaderRepeat         = "Jackdawlane-Repeat"
 	HeaderConfigVersion  = "Jackdawlane-Config-Version"
 	HeaderIdempotencyKey = "Jackdawlane-Idempotency-Key"
 	// HeaderCancel marks a request that only cancels the attempt it names, because its caller has gone.
