Keep work that arrived once in its region, reject without a budget, send shorter hop headers

Change: a spent budget ends a request; work that arrived once stays in the region; headers that say the usual are left out; idle shedding lowers no trusted limit.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -30,6 +30,9 @@
 	// the usual service time: enough that with a single slot and a few busy
 	// organisations, one that was just served is told from one that was not.
 	creditFactor = 8
+	// busyShare times the running work reaches the limit of a backend server that may be
+	// overloaded. One that sheds work below that is failing, and a lower limit would not help.
+	busyShare = 2
 	// demandTime is the time over which the demand of short work decays.
 	demandTime = 2 * time.Second
 	// capInterval is the time between checks of the cap on long work.
@@ -96,8 +99,10 @@
 	state   membership.State
 	running int
 	now     time.Duration
-	demand  float64 // offered short work in seconds, decayed over demandTime
-	decayed time.Duration
+	// trustSlots is set when the backend server runs nothing but the work of this queue.
+	trustSlots bool
+	demand     float64 // offered short work in seconds, decayed over demandTime
+	decayed    time.Duration
 }
 
 // NewQueue returns the queue of a backend server. One first seen as ready has
@@ -115,6 +120,10 @@
 	return q
 }
 
+// TrustSlots tells the queue that the backend server runs nothing but its work, so that
+// work shed while most slots are free is no sign of overload.
+func (q *Queue) TrustSlots() { q.trustSlots = true }
+
 // Announce takes the announced slots and state. Leaving drops all queued work.
 func (q *Queue) Announce(now time.Duration, slots int, state membership.State) Changes {
 	q.now = now
@@ -174,7 +183,9 @@
 	case Answered:
 		q.learn(it, latency.Seconds())
 	case Shed:
-		q.limiter.shed(now, q.routes.usualService())
+		if it.busy || !q.trustSlots {
+			q.limiter.shed(now, q.routes.usualService())
+		}
 	case Failed, Cancelled:
 		// Work that ended early still shows that its route takes at least this long.
 		if latency.Seconds() > it.stats.mean {
@@ -295,6 +306,7 @@
 	it.started = q.now
 	q.running++
 	it.full = q.running >= q.limiter.limit(q.now)
+	it.busy = busyShare*q.running >= q.limiter.limit(q.now)
 	q.fair.charge(it)
 }
 
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -350,3 +350,22 @@
 		assert.Assert(t, err != nil, s)
 	}
 }
+
+// Guards against a limit that falls, and so refuses work, because a backend server that
+// runs nothing else sheds work while its slots are free.
+func TestTrustedSlotsIgnoreIdleShedding(t *testing.T) {
+	q := NewQueue(0, 7, membership.StateReady)
+	q.TrustSlots()
+	now := time.Duration(0)
+	for i := range 50 {
+		now += 100 * ms
+		ask(q, now, fmt.Sprint(i), "x")
+		q.Done(now, fmt.Sprint(i), ms, Shed)
+	}
+	assert.Equal(t, q.Load(now).Limit, 7)
+	for i := range 7 {
+		ask(q, now, fmt.Sprint("busy", i), "x")
+	}
+	q.Done(now+time.Second, "busy6", ms, Shed)
+	assert.Assert(t, q.Load(now+time.Second).Limit < 7)
+}
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -68,6 +68,9 @@
 	Bytes int64
 	// Far is the number of attempts in other regions made for the request.
 	Far int
+	// Near keeps the attempt in the region: work that a backend server declined or
+	// failed would meet the same trouble elsewhere, over a link that is billed.
+	Near bool
 	// Retest work goes to backend servers that refused other work as suspect; their
 	// guards decide which of it they take.
 	Retest bool
@@ -159,7 +162,7 @@
 
 func (p *Picker) group(now time.Duration, candidates []membership.Backend, a Attempt) *[tiers]grouped {
 	var groups [tiers]grouped
-	far := p.bytes.Allows(now, a.Bytes) && a.Far < maxFar
+	far := p.bytes.Allows(now, a.Bytes) && a.Far < maxFar && !a.Near
 	for i := range candidates {
 		m := &candidates[i]
 		t, r := p.tier(now, m, a), p.ring(m)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -122,13 +122,19 @@
 	}
 	left := max(time.Until(y.deadline)/time.Millisecond, 1)
 	h.Set(hop.HeaderAttempt, y.id)
-	h.Set(hop.HeaderBackendServer, y.backend.ID)
 	h.Set(hop.HeaderService, y.backend.Service)
-	h.Set(hop.HeaderOrganisation, y.route.Organisation)
 	h.Set(hop.HeaderRoute, y.route.Name)
-	h.Set(hop.HeaderIdempotent, strconv.FormatBool(y.route.Idempotent))
 	h.Set(hop.HeaderTimeoutMS, strconv.FormatInt(int64(left), 10))
-	h.Set(hop.HeaderConfigVersion, strconv.FormatUint(y.version, 10))
+	// Headers that say the usual are left out, because links between regions are billed by volume.
+	if y.backend.ID != membership.BackendID(y.backend.Service, y.backend.Guard.HopAddress) {
+		h.Set(hop.HeaderBackendServer, y.backend.ID)
+	}
+	if y.route.Organisation != "" {
+		h.Set(hop.HeaderOrganisation, y.route.Organisation)
+	}
+	if y.route.Idempotent {
+		h.Set(hop.HeaderIdempotent, "true")
+	}
 	if force {
 		h.Set(hop.HeaderForce, "true")
 	}
--- a/entry/task.go
+++ b/entry/task.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/jackdawlane/jackdawlane/balance"
@@ -79,6 +81,7 @@
 	allSuspect := true
 	for t.mayTry() {
 		attempt.Retest, attempt.Far = t.mayRetest(), t.far
+		attempt.Near = t.arrivals > 0
 		choice, ok := t.choose(t.attempts+1, t.entry.candidates(t.pool), attempt)
 		if !ok && !t.waitForRoom(r.Context(), attempt.Tried) {
 			break
@@ -129,7 +132,9 @@
 // received the work. It reports false when the answer would come too late, or when
 // the failure of an earlier attempt can be reported at once.
 func (t *task) waitForRoom(ctx context.Context, tried map[string]hop.Reason) bool {
-	if t.sent > 0 || !t.entry.config.WaitForRoom || time.Now().Add(roomPause).After(t.usefulUntil()) {
+	// Without a budget for repeats more waiting serves no more requests.
+	spent := slices.Contains(slices.Collect(maps.Values(tried)), hop.ReasonRetryBudget)
+	if spent || t.sent > 0 || !t.entry.config.WaitForRoom || time.Now().Add(roomPause).After(t.usefulUntil()) {
 		return false
 	}
 	sleep(ctx, roomPause)
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -37,6 +37,8 @@
 	// IdleTimeout is how long a connection to a backend server stays unused; 0 means 90 s.
 	// It must be below the time after which backend servers close such a connection.
 	IdleTimeout time.Duration
+	// TrustSlots tells that the backend servers take work from this guard only.
+	TrustSlots bool
 	// HoldAnswers lets the guard keep a short answer until it is complete.
 	HoldAnswers bool
 	// Acknowledge tells the entry of each attempt when it arrives.
@@ -73,7 +75,7 @@
 	}
 	return &Guard{
 		config:   c,
-		registry: &registry{self: c.Self, clock: newClock(), expiry: c.Expiry, idle: c.IdleTimeout, servers: make(map[string]server)},
+		registry: &registry{self: c.Self, clock: newClock(), expiry: c.Expiry, idle: c.IdleTimeout, trustSlots: c.TrustSlots, servers: make(map[string]server)},
 		calls:    newCalls(c.Limits),
 		clock:    newAttemptClock(c.Self.Incarnation),
 	}
@@ -108,6 +110,9 @@
 		return
 	}
 	j, err := parseJob(r.Header, time.Now())
+	if j.backendID == "" {
+		j.backendID = membership.BackendID(j.service, g.config.Self.HopAddress)
+	}
 	if err != nil {
 		g.fail(w, j, http.StatusBadRequest, hop.OutcomeNotRun, hop.ReasonBadRequest)
 		return
@@ -281,7 +286,9 @@
 	h.Set(hop.HeaderOutcome, string(o))
 	h.Set(hop.HeaderGuardTime, g.clock.read().String())
 	health := g.config.Observer.State(j.backendID)
-	h.Set(hop.HeaderHealth, string(health))
+	if health != Healthy {
+		h.Set(hop.HeaderHealth, string(health))
+	}
 	if health == Suspect {
 		failing := int(thousand * g.config.Observer.Failing(j.backendID))
 		h.Set(hop.HeaderFailing, strconv.Itoa(failing))
--- a/guard/queue.go
+++ b/guard/queue.go
@@ -30,8 +30,11 @@
 	timer   *time.Timer
 }
 
-func newQueue(c clock, slots int, state membership.State) *queue {
+func newQueue(c clock, slots int, state membership.State, trustSlots bool) *queue {
 	q := &queue{clock: c, queue: admission.NewQueue(c(), slots, state), waiting: make(map[string]chan hop.Reason)}
+	if trustSlots {
+		q.queue.TrustSlots()
+	}
 	q.timer = time.AfterFunc(0, q.advance)
 	return q
 }
--- a/guard/queue_test.go
+++ b/guard/queue_test.go
@@ -21,7 +21,7 @@
 // and slots that are lost when waiting work is cancelled.
 func TestQueueWakesWaiters(t *testing.T) {
 	const slots = 4
-	q := newQueue(stopped, slots, membership.StateReady)
+	q := newQueue(stopped, slots, membership.StateReady, false)
 	for i := range slots {
 		assert.Equal(t, q.admit(t.Context(), work(i)), hop.Reason(""))
 	}
@@ -48,10 +48,10 @@
 // Guards against waiters that nobody wakes: a queue whose timer is not set, and
 // an announcement that does not reach the queue.
 func TestQueueDropsWaiters(t *testing.T) {
-	q := newQueue(newClock(), 1, membership.StateReady)
+	q := newQueue(newClock(), 1, membership.StateReady, false)
 	assert.Equal(t, q.admit(t.Context(), work(0)), hop.Reason(""))
 	assert.Equal(t, q.admit(t.Context(), work(1)), hop.ReasonFull)
-	q = newQueue(stopped, 1, membership.StateReady)
+	q = newQueue(stopped, 1, membership.StateReady, false)
 	assert.Equal(t, q.admit(t.Context(), work(0)), hop.Reason(""))
 	turn, _ := q.offer(work(1))
 	q.announce(1, membership.StateLeaving)
--- a/guard/registry.go
+++ b/guard/registry.go
@@ -27,12 +27,14 @@
 
 // registry holds the backend servers of a guard.
 type registry struct {
-	self    membership.Guard
-	clock   clock
-	expiry  time.Duration
-	idle    time.Duration
-	mu      sync.Mutex
-	servers map[string]server
+	self   membership.Guard
+	clock  clock
+	expiry time.Duration
+	idle   time.Duration
+	// trustSlots is set when backend servers take work from this guard only.
+	trustSlots bool
+	mu         sync.Mutex
+	servers    map[string]server
 }
 
 // announce records an announcement and forgets backend servers that are gone.
@@ -54,7 +56,7 @@
 	if ok {
 		queue.announce(b.Slots, b.State)
 	} else {
-		queue = newQueue(g.clock, b.Slots, b.State)
+		queue = newQueue(g.clock, b.Slots, b.State, g.trustSlots)
 	}
 	g.servers[b.ID] = server{backend: b, transport: transport, queue: queue, heard: now, instance: instance, expiry: g.expiry}
 }
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -24,7 +24,6 @@
 	HeaderRetest = "Jackdawlane-Retest"
 	// HeaderRepeat marks an attempt of a request that may have reached a backend server before.
 	HeaderRepeat         = "Jackdawlane-Repeat"
-	HeaderConfigVersion  = "Jackdawlane-Config-Version"
 	HeaderIdempotencyKey = "Jackdawlane-Idempotency-Key"
 	// HeaderCancel marks a request that only cancels the attempt it names, because its caller has gone.
 	HeaderCancel = "Jackdawlane-Cancel"
