Count arrivals only against the budget of repeats; bound the reduction of a limit and the guards of a round

Ruled out: long work, whose cap was not reached. Change: the budget counts dispatches; overload is measured against the slots; five guards a round.

--- a/admission/fair.go
+++ b/admission/fair.go
@@ -31,7 +31,7 @@
 	cost    float64
 	running bool
 	full    bool // the limit was in full use at dispatch
-	busy    bool // at least half of the limit was in use at dispatch
+	busy    bool // at least half of the slots were in use at dispatch
 }
 
 // organisation has its queued work and its virtual finish time.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -30,8 +30,9 @@
 	// the usual service time: enough that with a single slot and a few busy
 	// organisations, one that was just served is told from one that was not.
 	creditFactor = 8
-	// busyShare times the running work reaches the limit of a backend server that may be
-	// overloaded. One that sheds work below that is failing, and a lower limit would not help.
+	// busyShare times the running work reaches the slots of a backend server that may be
+	// overloaded. One that sheds work below that is failing, and a lower limit would not
+	// help; measured against the limit, each reduction would justify the next.
 	busyShare = 2
 	// demandTime is the time over which the demand of short work decays.
 	demandTime = 2 * time.Second
@@ -306,7 +307,7 @@
 	it.started = q.now
 	q.running++
 	it.full = q.running >= q.limiter.limit(q.now)
-	it.busy = busyShare*q.running >= q.limiter.limit(q.now)
+	it.busy = busyShare*q.running >= q.limiter.slots
 	q.fair.charge(it)
 }
 
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -368,4 +368,16 @@
 	}
 	q.Done(now+time.Second, "busy6", ms, Shed)
 	assert.Assert(t, q.Load(now+time.Second).Limit < 7)
+	for i := range 6 {
+		q.Done(now+time.Second, fmt.Sprint("busy", i), ms, Answered)
+	}
+	lowered := q.Load(now + time.Second).Limit
+	for i := range 50 {
+		now += 100 * ms
+		ask(q, now+time.Second, fmt.Sprint("again", i), "x")
+		ask(q, now+time.Second, fmt.Sprint("beside", i), "x")
+		q.Done(now+time.Second, fmt.Sprint("again", i), ms, Shed)
+		q.Done(now+time.Second, fmt.Sprint("beside", i), ms, Answered)
+	}
+	assert.Assert(t, q.Load(now+time.Second).Limit >= lowered, "a lowered limit justifies no further reduction")
 }
--- a/entry/task.go
+++ b/entry/task.go
@@ -20,6 +20,9 @@
 	retryWithin = 25 * time.Millisecond
 	// roomPause is the time between two rounds over the backend servers while none takes the work.
 	roomPause = 100 * time.Millisecond
+	// roundAttempts bounds the backend servers tried in one round, so that a request that
+	// finds all of them full does not load the guards of a large region.
+	roundAttempts = 5
 	// usefulShare is the share of the target latency within which work must have
 	// found a backend server, so that the answer can still be of use.
 	usefulShare = 0.6
@@ -46,6 +49,8 @@
 	// attempts counts the attempts made, arrivals those that may have reached a backend
 	// server, and sent those of them that may have run.
 	attempts, arrivals, sent int
+	// round counts the attempts since the request last waited for room.
+	round int
 	// far counts the attempts in other regions.
 	far int
 	// server is the node whose backend server was tried last.
@@ -82,7 +87,10 @@
 	for t.mayTry() {
 		attempt.Retest, attempt.Far = t.mayRetest(), t.far
 		attempt.Near = t.arrivals > 0
-		choice, ok := t.choose(t.attempts+1, t.entry.candidates(t.pool), attempt)
+		choice, ok := balance.Choice{}, false
+		if t.round < roundAttempts || !t.entry.config.WaitForRoom {
+			choice, ok = t.choose(t.attempts+1, t.entry.candidates(t.pool), attempt)
+		}
 		if !ok && !t.waitForRoom(r.Context(), attempt.Tried) {
 			break
 		}
@@ -90,6 +98,7 @@
 			continue
 		}
 		t.attempts++
+		t.round++
 		if choice.Ring == balance.RingOther {
 			t.far++
 		}
@@ -144,6 +153,7 @@
 		}
 	}
 	t.attempts++
+	t.round = 0
 	return ctx.Err() == nil
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -139,7 +139,7 @@
 		g.refuse(w, j, reason)
 		return
 	}
-	if !g.allowRepeat(j) {
+	if !g.mayRepeat(j) {
 		g.refuse(w, j, hop.ReasonRetryBudget)
 		return
 	}
@@ -171,6 +171,10 @@
 	if j.idempotent {
 		defer context.AfterFunc(r.Context(), cancel)()
 	}
+	if !g.countArrival(j) {
+		g.refuse(w, j, hop.ReasonRetryBudget)
+		return
+	}
 	if queueCtx.Err() != nil || !g.calls.dispatch(j.id) {
 		g.refuse(w, j, hop.ReasonCancelled)
 		return
--- a/guard/repeats_test.go
+++ b/guard/repeats_test.go
@@ -6,9 +6,27 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/membership"
 	"github.com/jackdawlane/jackdawlane/retry"
 )
 
+// Guards against a budget that grows with attempts that were refused before they arrived.
+func TestRefusedAttemptsEarnNoRepeats(t *testing.T) {
+	f := newFixture(t)
+	f.guard.config.RepeatShare = 1
+	f.guard.config.RepeatSpare = func(string) retry.Spare { return retry.Spare{} }
+	f.announce("good", f.backend, membership.StateLeaving)
+	for range 20 {
+		outcome, _ := f.do(f.newID())
+		assert.Equal(t, outcome, hop.OutcomeNotRun)
+	}
+	repeat := job{service: "s", repeat: true}
+	assert.Assert(t, f.guard.countArrival(repeat), "one to start with")
+	assert.Assert(t, !f.guard.mayRepeat(repeat))
+	assert.Assert(t, !f.guard.countArrival(repeat))
+}
+
 // Guards against repeats beyond the budget that the guards of a service share, and
 // against a burst of them that is refused although the window has room.
 func TestRepeatsStayWithinTheSharedBudget(t *testing.T) {
@@ -28,9 +46,9 @@
 		for i, g := range all {
 			if int(now/(100*time.Millisecond))%4 == i%4 {
 				firsts++
-				assert.Assert(t, g.allowRepeat(job{service: "s"}))
+				assert.Assert(t, g.countArrival(job{service: "s"}))
 			}
-			for g.allowRepeat(job{service: "s", repeat: true}) {
+			for g.countArrival(job{service: "s", repeat: true}) {
 				repeats++
 			}
 		}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -65,6 +65,12 @@
 	return true
 }
 
+// Has reports whether a retry may be sent, without taking its token.
+func (b *Budget) Has(now time.Duration) bool {
+	b.advance(now)
+	return b.tokens >= 1
+}
+
 // capacity is the largest number of saved tokens.
 func (b *Budget) capacity() float64 {
 	return max(1, b.minimum, b.burst, b.share*b.rate*window.Seconds())
