--- a/entry/balancer.go
+++ b/entry/balancer.go
@@ -27,7 +27,7 @@
 	paths   *balance.Paths
 	bytes   *balance.Bytes
 	burst   int64
-	spare   func() retry.Spare
+	minimum float64
 	share   float64
 	retries map[string]*retry.Budget
 	pickers map[string]*balance.Picker
@@ -45,7 +45,7 @@
 		paths:   balance.NewPaths(),
 		bytes:   balance.NewBytes(0, rate, burst),
 		burst:   int64(burst),
-		spare:   c.RetrySpare,
+		minimum: c.RetryMinimum,
 		share:   c.RetryShare,
 		retries: make(map[string]*retry.Budget),
 		pickers: make(map[string]*balance.Picker),
@@ -73,11 +73,9 @@
 func (b *balancer) budget(service string) *retry.Budget {
 	budget := b.retries[service]
 	if budget == nil {
-		spare := b.spare()
-		budget = retry.NewBudget(b.now(), b.share, max(spare.PerSecond, spare.Burst))
+		budget = retry.NewBudget(b.now(), b.share, b.minimum)
 		b.retries[service] = budget
 	}
-	budget.SetSpare(b.spare())
 	return budget
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,9 +36,9 @@
 	GuardsLimitRetries bool
 	// RetryShare is the retries allowed for each request of a service; 0 means retry.DefaultShare.
 	RetryShare float64
-	// RetrySpare returns the retries of a service allowed beyond that; nil means none.
-	RetrySpare func() retry.Spare
-	Limits     settings.Limits
+	// RetryMinimum is the retries per second of a service allowed without traffic.
+	RetryMinimum float64
+	Limits       settings.Limits
 	// Keys decides about requests with an idempotency key. Without it such a key has no meaning here.
 	Keys Keys
 	// Protocol is the interface to callers; nil means Native.
@@ -84,9 +84,6 @@
 	if c.RetryShare == 0 {
 		c.RetryShare = retry.DefaultShare
 	}
-	if c.RetrySpare == nil {
-		c.RetrySpare = func() retry.Spare { return retry.Spare{} }
-	}
 	dial := exchange.DialTimeout
 	if c.AcceptTimeout > 0 {
 		dial = c.AcceptTimeout
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -17,7 +17,6 @@
 	"github.com/jackdawlane/jackdawlane/attempt"
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/membership"
-	"github.com/jackdawlane/jackdawlane/retry"
 )
 
 // Config of a guard.
@@ -43,11 +42,8 @@
 	HoldAnswers bool
 	// Acknowledge tells the entry of each attempt when it arrives.
 	Acknowledge bool
-	// RepeatShare is the repeats allowed for each request that a backend server receives
-	// for the first time; 0 means that entries alone limit them.
-	RepeatShare float64
-	// RepeatSpare returns the repeats of a service allowed here beyond that.
-	RepeatSpare func(service string) retry.Spare
+	// Repeats limits the attempts of requests that may have arrived before.
+	Repeats Repeats
 	// Logger gets a line for each dispatch; nil logs none.
 	Logger *log.Logger
 }
--- a/guard/repeats_test.go
+++ b/guard/repeats_test.go
@@ -8,21 +8,19 @@
 
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/membership"
-	"github.com/jackdawlane/jackdawlane/retry"
 )
 
 // Guards against a budget that grows with attempts that were refused before they arrived.
 func TestRefusedAttemptsEarnNoRepeats(t *testing.T) {
 	f := newFixture(t)
-	f.guard.config.RepeatShare = 1
-	f.guard.config.RepeatSpare = func(string) retry.Spare { return retry.Spare{} }
+	f.guard.config.Repeats = Repeats{Share: 1, Spare: func(string) float64 { return 1 }, Span: 10 * time.Second}
 	f.announce("good", f.backend, membership.StateLeaving)
 	for range 20 {
 		outcome, _ := f.do(f.newID())
 		assert.Equal(t, outcome, hop.OutcomeNotRun)
 	}
 	repeat := job{service: "s", repeat: true}
-	assert.Assert(t, f.guard.countArrival(repeat), "one to start with")
+	assert.Assert(t, f.guard.countArrival(repeat), "the spare one")
 	assert.Assert(t, !f.guard.mayRepeat(repeat))
 	assert.Assert(t, !f.guard.countArrival(repeat))
 }
@@ -35,8 +33,7 @@
 	var all []*Guard
 	for range guards {
 		g := New(Config{
-			RepeatShare: share,
-			RepeatSpare: func(string) retry.Spare { return retry.SpareWithin(spare, window, guards) },
+			Repeats: Repeats{Share: share, Spare: func(string) float64 { return spare / guards }, Span: window},
 		})
 		g.registry.clock = func() time.Duration { return now }
 		all = append(all, g)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -17,11 +17,9 @@
 // Budget is a token bucket filled by requests. It is not safe for concurrent use.
 type Budget struct {
 	share, minimum float64
-	// burst is the number of retries that may be saved without traffic.
-	burst  float64
-	tokens float64
-	rate   float64 // requests per second, decayed over window
-	last   time.Duration
+	tokens         float64
+	rate           float64 // requests per second, decayed over window
+	last           time.Duration
 }
 
 // NewBudget returns a budget of share retries for each request and at least
@@ -30,24 +28,6 @@
 	return &Budget{share: share, minimum: minimum, tokens: max(1, minimum), last: now}
 }
 
-// Spare is what a budget allows beyond the share of requests.
-type Spare struct {
-	// PerSecond is the retries per second that are allowed without traffic.
-	PerSecond float64
-	// Burst is the number of them that may be saved.
-	Burst float64
-}
-
-// SpareWithin returns the spare of one of many budgets that together allow a number
-// of retries in any window of time: half of its part at once and half over the window.
-func SpareWithin(retries float64, window time.Duration, budgets int) Spare {
-	part := retries / 2 / float64(max(1, budgets))
-	return Spare{PerSecond: part / window.Seconds(), Burst: part}
-}
-
-// SetSpare sets what the budget allows beyond the share of requests.
-func (b *Budget) SetSpare(s Spare) { b.minimum, b.burst = s.PerSecond, s.Burst }
-
 // Request counts a first attempt, which earns a share of a retry.
 func (b *Budget) Request(now time.Duration) {
 	b.advance(now)
@@ -65,15 +45,9 @@
 	return true
 }
 
-// Has reports whether a retry may be sent, without taking its token.
-func (b *Budget) Has(now time.Duration) bool {
-	b.advance(now)
-	return b.tokens >= 1
-}
-
 // capacity is the largest number of saved tokens.
 func (b *Budget) capacity() float64 {
-	return max(1, b.minimum, b.burst, b.share*b.rate*window.Seconds())
+	return max(1, b.minimum, b.share*b.rate*window.Seconds())
 }
 
 func (b *Budget) advance(now time.Duration) {
