Choose among suspected servers by risk, and wait while all of them most likely fail

Change: the least likely to fail gets the work, above 0.5 it waits a round while it can; only declined work stays in its region.

--- a/balance/load.go
+++ b/balance/load.go
@@ -66,6 +66,16 @@
 	return b
 }
 
+// failing is the last reported probability that a suspected backend server fails work,
+// 1 without a report.
+func (l *loads) failing(id string) float64 {
+	b := l.byID[id]
+	if b == nil || b.suspected == 0 {
+		return 1
+	}
+	return b.failing
+}
+
 // estimate is the load of a backend server: its report, aged towards the
 // average, and what this entry sent since, over the slots.
 func (l *loads) estimate(now time.Duration, id string, slots int) float64 {
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -24,6 +25,9 @@
 	// farRisk is how much more likely a suspected backend server of the region must be
 	// to fail before the work goes to another region, whose links are billed by volume.
 	farRisk = 0.3
+	// maxForcedRisk is the probability of failing up to which a suspected backend server
+	// gets work at once; above it, work that may wait does so.
+	maxForcedRisk = 0.5
 	// maxFar bounds the attempts of one request in other regions.
 	maxFar = 2
 )
@@ -71,6 +75,8 @@
 	// Near keeps the attempt in the region: work that a backend server declined or
 	// failed would meet the same trouble elsewhere, over a link that is billed.
 	Near bool
+	// Patient work may wait until a backend server that is likely to fail has recovered.
+	Patient bool
 	// Retest work goes to backend servers that refused other work as suspect; their
 	// guards decide which of it they take.
 	Retest bool
@@ -108,8 +114,17 @@
 		if best == nil {
 			continue
 		}
-		if near := p.nearSuspect(groups); t == tierReady && near != nil && p.ring(best) == RingOther {
-			best, t = near, tierSuspect
+		suspect, risk := p.leastFailing(groups)
+		switch {
+		case t == tierReady && suspect != nil && p.ring(best) == RingOther && p.ring(suspect) != RingOther && risk < farRisk:
+			best, t = suspect, tierSuspect
+		case t == tierSuspect || t == tierRefused:
+			if a.Patient && risk > maxForcedRisk {
+				return Choice{}, false
+			}
+			if risk < 1 {
+				best = suspect
+			}
 		}
 		p.begin(now, best, a)
 		force := t == tierSuspect || t == tierRefused || t == tierEjected
@@ -118,21 +133,26 @@
 	return Choice{}, false
 }
 
-// nearSuspect returns the suspected backend server of the region that is least likely
-// to fail, nil when all of them are too likely to.
-func (p *Picker) nearSuspect(groups *[tiers]grouped) *membership.Backend {
+// leastFailing returns the suspected backend server that is least likely to fail, and
+// the probability. One in another region must be better by farRisk.
+func (p *Picker) leastFailing(groups *[tiers]grouped) (*membership.Backend, float64) {
 	var best *membership.Backend
-	risk := farRisk
+	risk, least := 1.0, math.Inf(1)
 	for _, t := range []tier{tierSuspect, tierRefused} {
-		for _, ring := range []Ring{RingDataCentre, RingRegion} {
-			for _, m := range groups[t][ring] {
-				if known := p.loads.byID[m.ID]; known != nil && known.failing < risk {
-					best, risk = m, known.failing
+		for ring, ms := range groups[t] {
+			for _, m := range ms {
+				failing := p.loads.failing(m.ID)
+				cost := failing
+				if Ring(ring) == RingOther {
+					cost += farRisk
+				}
+				if cost < least {
+					best, risk, least = m, failing, cost
 				}
 			}
 		}
 	}
-	return best
+	return best, risk
 }
 
 // End records the end of an attempt.
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -158,3 +158,21 @@
 	_, ok := p.Pick(0, r, []membership.Backend{server(3, "r2", "r2a")}, Attempt{Far: maxFar})
 	assert.Assert(t, !ok)
 }
+
+// Guards against work at a backend server that most likely fails it, while the work could
+// wait, and against a choice among suspected ones by load instead of by risk.
+func TestPatientWorkWaitsForRecovery(t *testing.T) {
+	all := []membership.Backend{server(1, "r1", "r1a"), server(2, "r1", "r1b")}
+	p, r := newPicker(0), rng()
+	p.End(0, "s@1", Reply{Suspect: true, Failing: 0.9})
+	p.End(0, "s@2", Reply{Suspect: true, Failing: 0.8})
+	_, ok := p.Pick(0, r, all, Attempt{Patient: true})
+	assert.Assert(t, !ok, "both most likely fail")
+	choice, ok := p.Pick(0, r, all, Attempt{})
+	assert.Assert(t, ok && choice.Force)
+	assert.Equal(t, choice.Backend.ID, "s@2")
+	p.End(0, "s@1", Reply{Suspect: true, Failing: 0.4})
+	choice, ok = p.Pick(0, r, all, Attempt{Patient: true})
+	assert.Assert(t, ok && choice.Force)
+	assert.Equal(t, choice.Backend.ID, "s@1")
+}
--- a/entry/task.go
+++ b/entry/task.go
@@ -51,6 +51,8 @@
 	attempts, arrivals, sent int
 	// round counts the attempts since the request last waited for room.
 	round int
+	// declined is set when a backend server received the work and declined it.
+	declined bool
 	// far counts the attempts in other regions.
 	far int
 	// server is the node whose backend server was tried last.
@@ -86,7 +88,8 @@
 	allSuspect := true
 	for t.mayTry() {
 		attempt.Retest, attempt.Far = t.mayRetest(), t.far
-		attempt.Near = t.arrivals > 0
+		attempt.Near = t.declined
+		attempt.Patient = t.entry.config.WaitForRoom && t.sent == 0 && time.Now().Add(roomPause).Before(t.usefulUntil())
 		choice, ok := balance.Choice{}, false
 		if t.round < roundAttempts || !t.entry.config.WaitForRoom {
 			choice, ok = t.choose(t.attempts+1, t.entry.candidates(t.pool), attempt)
@@ -184,6 +187,7 @@
 	switch f.Reason {
 	case hop.ReasonDeclined:
 		t.arrivals++
+		t.declined = true
 		return t.allowRetry()
 	case hop.ReasonFull, hop.ReasonTimeout:
 		return t.entry.config.WaitForRoom || time.Since(t.started) < retryWithin
