--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -49,7 +49,6 @@
 	if proceed, refused := y.claim(); !proceed {
 		return refused
 	}
-	t.server = b.Guard.NodeID
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline.Add(hopGrace))
 	defer cancel()
 	out, sending := exchange.NewRequest(ctx, r, b.Guard.HopAddress, t.body.reader())
@@ -61,7 +60,7 @@
 	accepted := y.expectAcceptance(cancel)
 	res, sent, err := exchange.Do(t.entry.transport, out, func(code int, header textproto.MIMEHeader) {
 		accepted.Store(true)
-		if code != hop.StatusAccepted {
+		if code != hop.StatusAccepted && !t.entry.config.HoldAnswers {
 			reply.Informational(code, header)
 		}
 	})
@@ -185,7 +184,8 @@
 	return float64(n) / 1000
 }
 
-// answered delivers an answer, or holds back the failure of work that may be repeated.
+// answered holds a short answer for the caller, and delivers a long one. The failure of
+// work that may be repeated is not final.
 func (y *try) answered(reply *exchange.Reply, res *http.Response) *Refusal {
 	if !y.entry.config.HoldAnswers {
 		y.deliver(reply, res)
@@ -196,17 +196,17 @@
 		return y.lost()
 	}
 	if !whole {
+		if !y.delivering.CompareAndSwap(false, true) {
+			return Unknown(hop.ReasonCancelled, "the other attempt delivers its answer")
+		}
 		y.deliver(reply, res)
 		return nil
 	}
 	y.ending.actual += int64(len(a.body))
-	if y.route.Idempotent && a.status >= http.StatusInternalServerError {
-		failed := Unknown(hop.ReasonFailed, "the backend server failed")
-		failed.answer = a
-		return failed
-	}
-	y.deliverHeld(y.w, a)
-	return nil
+	held := Unknown(hop.ReasonFailed, "the backend server failed")
+	held.answer = a
+	held.final = !y.route.Idempotent || a.status < http.StatusInternalServerError
+	return held
 }
 
 // deliver relays an answer. When it breaks off, the rest of a retained answer
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -137,7 +138,7 @@
 
 // accept checks the request and returns its task, also with a refusal.
 func (e *Entry) accept(r *http.Request, received time.Time) (*task, *Refusal) {
-	t := &task{entry: e, received: received}
+	t := &task{entry: e, received: received, delivering: new(atomic.Bool)}
 	if refused := checkRequest(r, e.config.Limits.MaxHeaderBytes); refused != nil {
 		return t, refused
 	}
--- /dev/null
+++ b/entry/hedge.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/balance"
+	"github.com/jackdawlane/jackdawlane/hop"
+)
+
+// hedgeShare is the share of the target latency after which idempotent work without an
+// answer is sent to a second backend server as well: late enough that most work has
+// ended, early enough that the second answer can be in time.
+const hedgeShare = 0.5
+
+// hedgeDelay returns when a second attempt begins beside the first, false when none may.
+// It needs answers that are held, so that either attempt can still be given up.
+func (t *task) hedgeDelay() (time.Duration, bool) {
+	target := t.route.TargetLatency()
+	if !t.entry.config.HoldAnswers || target == 0 || t.body.rest != nil || !t.mayRetest() {
+		return 0, false
+	}
+	return time.Duration(hedgeShare * float64(target)), true
+}
+
+// attemptEnd is the end of one of two attempts.
+type attemptEnd struct {
+	refused *Refusal
+	// panicked is what the attempt raised to abort the caller's connection.
+	panicked any
+}
+
+// succeeded reports whether the caller has its reply or a successful answer is held.
+func (e attemptEnd) succeeded() bool {
+	return e.refused == nil || e.refused.final && e.refused.answer != nil
+}
+
+// attemptHedged makes an attempt, and a second one beside it when no answer comes in
+// time. The first success wins and the other attempt is cancelled.
+func (t *task) attemptHedged(w http.ResponseWriter, r *http.Request, c balance.Choice, a balance.Attempt) *Refusal {
+	delay, ok := t.hedgeDelay()
+	if !ok {
+		return t.attempt(w, r, c, a.Bytes)
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	r = r.WithContext(ctx)
+	ends := make(chan attemptEnd, 2)
+	launch := func(t *task, c balance.Choice) {
+		go func() {
+			var end attemptEnd
+			defer func() {
+				end.panicked = recover()
+				ends <- end
+			}()
+			end.refused = t.attempt(w, r, c, a.Bytes)
+		}()
+	}
+	launch(t, c)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	var last attemptEnd
+	for running := 1; running > 0; {
+		select {
+		case <-timer.C:
+			second, found := t.chooseSecond(c, a)
+			if !found {
+				continue
+			}
+			running++
+			repeat := *t
+			repeat.arrivals++
+			launch(&repeat, second)
+			t.attempts++
+			t.hedged = true
+		case end := <-ends:
+			running--
+			if end.panicked != nil {
+				panic(end.panicked)
+			}
+			if last.refused == nil || end.succeeded() || end.refused.answer != nil {
+				last = end
+			}
+			if end.succeeded() {
+				return end.refused
+			}
+		}
+	}
+	if t.hedged {
+		// Both may have run.
+		t.sent++
+	}
+	return last.refused
+}
+
+// chooseSecond returns another backend server that is not suspected.
+func (t *task) chooseSecond(first balance.Choice, a balance.Attempt) (balance.Choice, bool) {
+	a.Tried = maps.Clone(a.Tried)
+	a.Tried[first.Backend.ID] = hop.ReasonTimeout
+	a.Retest, a.Patient, a.Near = false, true, true
+	return t.choose(t.attempts+1, t.entry.candidates(t.pool), a)
+}
--- a/entry/task.go
+++ b/entry/task.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackdawlane/jackdawlane/balance"
@@ -53,10 +54,14 @@
 	round int
 	// declined is set when a backend server received the work and declined it.
 	declined bool
+	// hedged is set when two attempts were made at the same time.
+	hedged bool
 	// far counts the attempts in other regions.
 	far int
 	// server is the node whose backend server was tried last.
 	server string
+	// delivering is set once one of the attempts writes to the caller.
+	delivering *atomic.Bool
 	// status is that of the reply to the caller.
 	status int
 }
@@ -107,7 +112,8 @@
 		}
 		// Suspicion alone takes no capacity away, so the last attempt does not heed it.
 		choice.Force = choice.Force || t.attempts == t.route.Attempts() && allSuspect && !t.entry.config.WaitForRoom
-		next := t.attempt(w, r, choice, attempt.Bytes)
+		t.server = choice.Backend.Guard.NodeID
+		next := t.attemptHedged(w, r, choice, attempt)
 		if next != nil && next.Reason == hop.ReasonStaleGuardTime && t.mayRetry(r.Context(), next) {
 			// The refusal brought the reading that the guard asks for.
 			next = t.attempt(w, r, choice, attempt.Bytes)
@@ -219,6 +225,6 @@
 	}
 	logger.Info("request",
 		"id", t.requestID, "route", t.route.Name, "version", t.version, "service", t.pool.Service,
-		"server", t.server, "attempts", t.attempts, "far", t.far, "outcome", string(outcome), "reason", string(reason),
+		"server", t.server, "attempts", t.attempts, "far", t.far, "hedged", t.hedged, "outcome", string(outcome), "reason", string(reason),
 		"status", t.status, "ms", time.Since(t.received).Milliseconds())
 }
--- a/telemetry/handler.go
+++ b/telemetry/handler.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
@@ -33,11 +35,20 @@
 	})
 }
 
-// Count counts the outcomes of next in m, without a span.
+// Count counts the outcomes of next in m by status, and its latency, without a span.
 func (m *Metrics) Count(name string, next http.Handler) http.Handler {
+	latency := NewHistogram()
+	m.root.Set(name+".latency", latency)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		recorder := &outcomeRecorder{ResponseWriter: w}
-		defer func() { m.CountRequest(name, recorder.outcome, recorder.reason) }()
+		started := time.Now()
+		defer func() {
+			latency.Observe(time.Since(started))
+			m.Add(name+".status."+strconv.Itoa(recorder.status), 1)
+			if recorder.outcome != "" {
+				m.CountRequest(name, recorder.outcome, recorder.reason)
+			}
+		}()
 		next.ServeHTTP(recorder, r)
 	})
 }
