--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/textproto"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,12 +60,12 @@
 	reply := exchange.NewReply(w)
 	accepted := y.expectAcceptance(cancel)
 	res, sent, err := exchange.Do(t.entry.transport, out, func(code int, header textproto.MIMEHeader) {
-		accepted.Store(true)
+		accepted()
 		if code != hop.StatusAccepted && !t.entry.config.HoldAnswers {
 			reply.Informational(code, header)
 		}
 	})
-	accepted.Store(true)
+	accepted()
 	reply.Close()
 	y.ending.replied = err == nil
 	y.ending.failed = err != nil && r.Context().Err() == nil
@@ -92,19 +91,15 @@
 	return refused
 }
 
-// expectAcceptance cancels the attempt when the guard does not acknowledge it in time.
-func (y *try) expectAcceptance(cancel context.CancelFunc) *atomic.Bool {
-	accepted := new(atomic.Bool)
+// expectAcceptance cancels the attempt unless the function that it returns is called in
+// time, when the guard acknowledges the attempt.
+func (y *try) expectAcceptance(cancel context.CancelFunc) (accepted func()) {
 	limit := y.entry.config.AcceptTimeout
 	if limit == 0 {
-		return accepted
+		return func() {}
 	}
-	time.AfterFunc(limit, func() {
-		if !accepted.Load() {
-			cancel()
-		}
-	})
-	return accepted
+	timer := time.AfterFunc(limit, cancel)
+	return func() { timer.Stop() }
 }
 
 func (y *try) prepare(out *http.Request, force bool) {
