Wait for the first byte of every body before an attempt is admitted

Cause: found by reading: a chunked body was not waited for, so a guard could hand the head of a request on while its entry, which had sent no byte of the body, reports it as not run. Change: the guard reads the first byte, which the entry counts as sent.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -72,8 +72,8 @@
 	Bytes int64
 	// Far is the number of attempts in other regions made for the request.
 	Far int
-	// Near keeps the attempt in the region: work that a backend server declined or
-	// failed would meet the same trouble elsewhere, over a link that is billed.
+	// Near keeps the attempt in the region: work that a backend server declined would
+	// most likely be declined elsewhere too, over a link that is billed.
 	Near bool
 	// Patient work may wait until a backend server that is likely to fail has recovered.
 	Patient bool
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -188,15 +188,16 @@
 // bodyOf reads a short body, and the first part of a long one. An entry that has
 // not sent the part can then say that the work did not run.
 func bodyOf(r *http.Request) (io.Reader, error) {
-	if r.ContentLength > maxBufferedBody {
+	if r.ContentLength == 0 {
+		return r.Body, nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > maxBufferedBody {
 		first := make([]byte, 1)
-		if _, err := io.ReadFull(r.Body, first); err != nil {
+		n, err := io.ReadFull(r.Body, first)
+		if err != nil && err != io.EOF {
 			return nil, err
 		}
-		return io.MultiReader(bytes.NewReader(first), r.Body), nil
-	}
-	if r.ContentLength <= 0 {
-		return r.Body, nil
+		return io.MultiReader(bytes.NewReader(first[:n]), r.Body), nil
 	}
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
