--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test soak fuzz generate run bench
+.PHONY: build check test soak fault-soak fuzz generate run bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -24,6 +24,10 @@
 soak:
 	go test -count=1 -timeout 30m $(PROPERTY) -rapid.checks=2000
 
+# Plays the fault soak of real processes with further seeds, such as SEEDS=100-149.
+fault-soak:
+	JACKDAWLANE_SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 60m -run TestSoak -v ./platform
+
 generate:
 	bash scripts/generate.sh
 
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -61,7 +61,7 @@
 	launch(t, c)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
-	var last attemptEnd
+	var last *Refusal
 	for running := 1; running > 0; {
 		select {
 		case <-timer.C:
@@ -80,19 +80,32 @@
 			if end.panicked != nil {
 				panic(end.panicked)
 			}
-			if last.refused == nil || end.succeeded() || end.refused.answer != nil {
-				last = end
-			}
 			if end.succeeded() {
 				return end.refused
 			}
+			last = moreTelling(last, end.refused)
 		}
 	}
 	if t.hedged {
 		// Both may have run.
 		t.sent++
 	}
-	return last.refused
+	return last
+}
+
+// moreTelling returns the one of two failures that says more of what became of the work:
+// the answer of a backend server, then an unknown outcome. "Not run" is true only if it
+// holds for both attempts.
+func moreTelling(a, b *Refusal) *Refusal {
+	switch {
+	case a == nil:
+		return b
+	case a.answer != nil:
+		return a
+	case b.answer != nil || a.Outcome == hop.OutcomeNotRun:
+		return b
+	}
+	return a
 }
 
 // chooseSecond returns another backend server that is not suspected.
