Keep an unknown outcome when the next attempt is refused

Cause: found by reading: after a lost answer of idempotent work, a second attempt that was refused made the reply 503, which states that the work did not run. Change: the most telling result of all attempts is reported.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -32,11 +32,6 @@
 	panicked any
 }
 
-// succeeded reports whether the caller has its reply or a successful answer is held.
-func (e attemptEnd) succeeded() bool {
-	return e.refused == nil || e.refused.final && e.refused.answer != nil
-}
-
 // attemptHedged makes an attempt, and a second one beside it when no answer comes in
 // time. The first success wins and the other attempt is cancelled.
 func (t *task) attemptHedged(w http.ResponseWriter, r *http.Request, c balance.Choice, a balance.Attempt) *Refusal {
@@ -80,7 +75,7 @@
 			if end.panicked != nil {
 				panic(end.panicked)
 			}
-			if end.succeeded() {
+			if end.refused.succeeded() {
 				return end.refused
 			}
 			last = moreTelling(last, end.refused)
--- a/entry/protocol.go
+++ b/entry/protocol.go
@@ -75,6 +75,9 @@
 	return &Refusal{Status: status, Outcome: hop.OutcomeUnknown, Reason: reason, Detail: detail}
 }
 
+// succeeded reports whether the caller has its reply (nil), or an answer for it is held.
+func (f *Refusal) succeeded() bool { return f == nil || f.final && f.answer != nil }
+
 // ended returns the refusal as one that no further attempt follows.
 func (f *Refusal) ended() *Refusal {
 	f.final = true
--- a/entry/task.go
+++ b/entry/task.go
@@ -88,7 +88,7 @@
 
 // attemptAll makes attempts until one answers or none may follow.
 func (t *task) attemptAll(w http.ResponseWriter, r *http.Request) *Refusal {
-	refused := NotRun(http.StatusServiceUnavailable, hop.ReasonNoBackend, "no backend server of the pool can be used")
+	result := NotRun(http.StatusServiceUnavailable, hop.ReasonNoBackend, "no backend server of the pool can be used")
 	attempt := balance.Attempt{Tried: make(map[string]hop.Reason), Bytes: t.size + t.body.length(r)}
 	allSuspect := true
 	for t.mayTry() {
@@ -118,18 +118,17 @@
 			// The refusal brought the reading that the guard asks for.
 			next = t.attempt(w, r, choice, attempt.Bytes)
 		}
-		if next != nil && next.answer == nil && refused.answer != nil {
-			// The failure of a backend server tells the caller more than a refusal.
-			next.answer = refused.answer
+		if next.succeeded() {
+			return next
 		}
-		refused = next
-		if refused == nil || !t.mayRetry(r.Context(), refused) {
+		result = moreTelling(result, next)
+		if !t.mayRetry(r.Context(), next) {
 			break
 		}
-		attempt.Tried[choice.Backend.ID] = refused.Reason
-		allSuspect = allSuspect && steered(refused.Reason)
+		attempt.Tried[choice.Backend.ID] = next.Reason
+		allSuspect = allSuspect && steered(next.Reason)
 	}
-	return refused
+	return result
 }
 
 // mayRetest reports whether the request may test a suspected backend server: it can be
