Let the later record at an address count; forget old load reports whole

Cause: a VM lost without a word leaves its record, and its address is given to a new VM. Ruled out: late events (16 records were known 0.6 s after they were written), refusals (no attempt was made). Besides, a rest of trust in old idle reports kept a server without reports behind the others (22 of 300 picks where 75 are its share). Change: revisions order the records at one address; reports lose all weight after 0.7 s.

--- a/balance/load.go
+++ b/balance/load.go
@@ -11,6 +11,9 @@
 	// reportAge is the time constant with which a report ages towards the
 	// average. Load changes within a few service times, so an old report says little.
 	reportAge = 300 * time.Millisecond
+	// minTrust is the trust below which a report counts for nothing. A rest of trust in
+	// idle reports would keep a backend server that has sent none from ever being chosen.
+	minTrust = 0.1
 	// refusedLoad replaces a report of free slots that came with a refusal as full.
 	refusedLoad = 2.0
 	// maxLoad bounds a report, so that one false value cannot move the average far.
@@ -87,6 +90,9 @@
 	if b.known {
 		trust = math.Exp(-(now - b.reported).Seconds() / reportAge.Seconds())
 	}
+	if trust < minTrust {
+		trust = 0
+	}
 	local := float64(b.inFlight) / float64(max(1, slots))
 	sent := float64(min(b.sent, b.inFlight)) / float64(max(1, slots))
 	return max(local, l.average+trust*(b.load-l.average)+sent)
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -176,3 +176,25 @@
 	assert.Assert(t, ok && choice.Force)
 	assert.Equal(t, choice.Backend.ID, "s@1")
 }
+
+// Guards against a backend server that has joined and gets no work, because reports that
+// are seconds old still make the others seem less loaded than the average.
+func TestNewBackendGetsItsShare(t *testing.T) {
+	all := []membership.Backend{server(1, "r1", "r1a"), server(2, "r1", "r1a"), server(3, "r1", "r1a"), server(4, "r1", "r1a")}
+	p, r := newPicker(0), rng()
+	p.End(0, "s@1", Reply{Load: 3, HasLoad: true})
+	joined := 0
+	for i := range 300 {
+		now := time.Duration(i+1) * time.Second
+		c, ok := p.Pick(now, r, all, Attempt{})
+		assert.Assert(t, ok)
+		if c.Backend.ID == "s@4" {
+			joined++
+			p.loads.byID["s@4"].inFlight = 0
+			delete(p.loads.byID, "s@4")
+			continue
+		}
+		p.End(now, c.Backend.ID, Reply{Load: 0, HasLoad: true})
+	}
+	assert.Assert(t, joined > 40, "%d of 300", joined)
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -89,11 +89,17 @@
 	return membership.BackendID(service, hop.String())
 }
 
+// stored is a record as the store holds it.
+type stored struct {
+	Record
+	revision uint64
+}
+
 // Directory holds the records of all nodes. Apply is for one goroutine; the rest
 // may be called by all.
 type Directory struct {
 	mu      sync.Mutex
-	records map[string]Record
+	records map[string]stored
 	loaded  bool
 	view    atomic.Pointer[membership.View]
 	nodes   atomic.Int64
@@ -103,7 +109,7 @@
 
 // New returns an empty directory.
 func New(rejected func(name string, err error)) *Directory {
-	d := &Directory{records: make(map[string]Record), rejected: rejected}
+	d := &Directory{records: make(map[string]stored), rejected: rejected}
 	d.view.Store(membership.NewView(nil))
 	return d
 }
@@ -118,8 +124,8 @@
 func (d *Directory) Record(node string) (r Record, found, loaded bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r, found = d.records[node]
-	return r, found, d.loaded
+	s, found := d.records[node]
+	return s.Record, found, d.loaded
 }
 
 // Apply takes a batch of the store.
@@ -127,7 +133,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if b.Whole {
-		d.records = make(map[string]Record, len(b.Objects))
+		d.records = make(map[string]stored, len(b.Objects))
 		d.loaded = true
 	}
 	for _, o := range b.Objects {
@@ -146,24 +152,22 @@
 		d.rejected(o.Name, err)
 		return
 	}
-	d.records[o.Name] = r
+	d.records[o.Name] = stored{Record: r, revision: o.Revision}
 }
 
-// publish makes the records visible. Of two nodes at one address the one whose
-// backend server does not leave counts; the other was replaced.
+// publish makes the records visible. Of two nodes at one address the one that wrote
+// last counts: the other was lost without a word and its address was given away.
 func (d *Directory) publish() {
-	byHop := make(map[string]membership.Backend, len(d.records))
+	byHop := make(map[string]string, len(d.records))
 	for node, r := range d.records {
-		b := r.backend(node)
-		old, taken := byHop[r.Hop]
-		if taken && (r.Leaving || old.State != membership.StateLeaving && old.Guard.NodeID > node) {
-			continue
+		other, taken := byHop[r.Hop]
+		if !taken || r.revision > d.records[other].revision {
+			byHop[r.Hop] = node
 		}
-		byHop[r.Hop] = b
 	}
 	backends := make([]membership.Backend, 0, len(byHop))
-	for _, b := range byHop {
-		backends = append(backends, b)
+	for _, node := range byHop {
+		backends = append(backends, d.records[node].backend(node))
 	}
 	d.nodes.Store(int64(len(d.records)))
 	d.view.Store(membership.NewView(backends))
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -20,6 +20,8 @@
 	Value []byte
 	// Deleted is set when the object no longer exists.
 	Deleted bool
+	// Revision is that of the store at the last change of the object.
+	Revision uint64
 }
 
 // Batch is a consistent step of the objects of a kind.
