Let idempotent work that failed wait for another backend server

Cause: a request that had failed once ended after one round of five guards, even with most of its time left: waitForRoom took any earlier failure as final. Re-tests were hit most, as a re-test fails within a millisecond while the other backend servers of its region are suspected too. Ruled out: max_attempts (2 on these routes, one was used), the deadline (11 to 270 ms of 1 to 3 s were over). Change: such a request waits in rounds like one that was never received, up to 0.6 of its whole time instead of 0.6 of its target latency. The bound is a pure decision, retry.Patience.

--- a/entry/task.go
+++ b/entry/task.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawlane/jackdawlane/balance"
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/pool"
+	"github.com/jackdawlane/jackdawlane/retry"
 	"github.com/jackdawlane/jackdawlane/route"
 )
 
@@ -24,9 +25,6 @@
 	// roundAttempts bounds the backend servers tried in one round, so that a request that
 	// finds all of them full does not load the guards of a large region.
 	roundAttempts = 5
-	// usefulShare is the share of the target latency within which work must have
-	// found a backend server, so that the answer can still be of use.
-	usefulShare = 0.6
 	// maxRounds bounds the attempts of a request that waits for room.
 	maxRounds = 200
 )
@@ -94,7 +92,7 @@
 	for t.mayTry() {
 		attempt.Retest, attempt.Far = t.mayRetest(), t.far
 		attempt.Near = t.declined
-		attempt.Patient = t.entry.config.WaitForRoom && t.sent == 0 && time.Now().Add(roomPause).Before(t.usefulUntil())
+		attempt.Patient = t.mayWait()
 		choice, ok := balance.Choice{}, false
 		if t.round < roundAttempts || !t.entry.config.WaitForRoom {
 			choice, ok = t.choose(t.attempts+1, t.entry.candidates(t.pool), attempt)
@@ -146,12 +144,11 @@
 }
 
 // waitForRoom waits before all backend servers are tried again, except those that
-// received the work. It reports false when the answer would come too late, or when
-// the failure of an earlier attempt can be reported at once.
+// received the work. It reports false when the answer would come too late.
 func (t *task) waitForRoom(ctx context.Context, tried map[string]hop.Reason) bool {
 	// Without a budget for repeats more waiting serves no more requests.
 	spent := slices.Contains(slices.Collect(maps.Values(tried)), hop.ReasonRetryBudget)
-	if spent || t.sent > 0 || !t.entry.config.WaitForRoom || time.Now().Add(roomPause).After(t.usefulUntil()) {
+	if spent || !t.mayWait() {
 		return false
 	}
 	sleep(ctx, roomPause)
@@ -165,13 +162,10 @@
 	return ctx.Err() == nil
 }
 
-// usefulUntil is the time until which work may wait for a backend server.
-func (t *task) usefulUntil() time.Time {
-	target := t.route.TargetLatency()
-	if target == 0 {
-		target = t.deadline.Sub(t.received)
-	}
-	return t.received.Add(time.Duration(usefulShare * float64(target)))
+// mayWait reports whether the request has time for one more pause.
+func (t *task) mayWait() bool {
+	p := retry.Patience{Target: t.route.TargetLatency(), Timeout: t.deadline.Sub(t.received)}
+	return t.entry.config.WaitForRoom && time.Since(t.received)+roomPause <= p.Until(t.sent > 0)
 }
 
 // arrived reports whether an attempt that ended for the reason may have reached its backend server.
