Keep the limit of a backend server that declines work although it has room

Cause: each declined request lowered the concurrency limit of its backend server once half of its slots were in use. Change: the adapter tells a decline with work waiting, or without a statement of load, from one while nothing waits. Only the first lowers the limit. An answer from another process at the address no longer counts as overload either.

--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -42,10 +42,13 @@
 	span.replied(sending)
 	defer res.Body.Close()
 	switch g.config.Protocol.Judge(out, res) {
-	case Declined, Misdirected:
+	case Overloaded:
 		g.observe(ctx, j, s, Shed, span)
-		g.log(j, s, hop.OutcomeNotRun, hop.ReasonDeclined, res.StatusCode, span)
-		g.refuse(w, j, hop.ReasonDeclined)
+		g.declined(w, j, s, res.StatusCode, span)
+		return
+	case Declined, Misdirected:
+		s.queue.done(j.id, time.Since(span.start), admission.Cancelled)
+		g.declined(w, j, s, res.StatusCode, span)
 		return
 	case Foreign:
 		// The connection may hold more that belongs to no request.
@@ -71,6 +74,12 @@
 	g.log(j, s, hop.OutcomeAnswer, "", res.StatusCode, span)
 }
 
+// declined ends an attempt that the backend server did not run.
+func (g *Guard) declined(w http.ResponseWriter, j job, s server, status int, span *backendTime) {
+	g.log(j, s, hop.OutcomeNotRun, hop.ReasonDeclined, status, span)
+	g.refuse(w, j, hop.ReasonDeclined)
+}
+
 // holdShort reads a short answer to its end, so that one that breaks off is reported as lost.
 func holdShort(res *http.Response) error {
 	whole, data, err := exchange.ReadShort(res.Body)
--- a/guard/protocol.go
+++ b/guard/protocol.go
@@ -13,7 +13,11 @@
 const (
 	// Genuine responses answer the request.
 	Genuine Verdict = iota
-	// Declined responses state that the backend server did not run the request.
+	// Overloaded responses state that the backend server did not run the request, and
+	// may do so for lack of room.
+	Overloaded
+	// Declined responses state that the backend server did not run the request although
+	// it had room, so that sending it less work would not help.
 	Declined
 	// Misdirected responses come from another backend server, which did not run the request.
 	Misdirected
