--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -86,8 +86,12 @@
 			sending.Interrupt(w)
 		}
 	}()
+	granted := res.Header.Get(hop.HeaderGrant) != ""
 	refused := y.judge(reply, res)
 	replied = refused == nil
+	if refused != nil {
+		refused.granted = granted
+	}
 	return refused
 }
 
@@ -134,8 +138,8 @@
 	if force {
 		h.Set(hop.HeaderForce, "true")
 	}
-	if y.arrivals > 0 {
-		h.Set(hop.HeaderRepeat, "true")
+	if repeat := y.repeat(); repeat != hop.RepeatNone {
+		h.Set(hop.HeaderRepeat, string(repeat))
 	}
 	if y.mayRetest() {
 		h.Set(hop.HeaderRetest, "true")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,9 @@
 	Resolver Resolver
 	// GuardsLimitRetries leaves the budget of retries to the guards.
 	GuardsLimitRetries bool
+	// Running returns the work at the backend servers of this node, and how much of it
+	// repeats. Calls of repeated work count as repeats; nil means that none is made.
+	Running func() (all, repeats int)
 	// RetryShare is the retries allowed for each request of a service; 0 means retry.DefaultShare.
 	RetryShare float64
 	// RetryMinimum is the retries per second of a service allowed without traffic.
@@ -65,6 +69,8 @@
 	splitter  *balance.Splitter
 	transport *http.Transport
 	readings  readings
+	originsMu sync.Mutex
+	origins   *retry.Origins
 }
 
 const (
@@ -96,7 +102,7 @@
 		t.ExpectContinueTimeout = noTimeout
 	}
 	splitter := balance.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	return &Entry{config: c, balancer: newBalancer(c), splitter: splitter, transport: t}
+	return &Entry{config: c, balancer: newBalancer(c), splitter: splitter, transport: t, origins: retry.NewOrigins()}
 }
 
 // Server returns the server of the traffic address: HTTP/1.1, and HTTP/2 with prior knowledge.
@@ -158,6 +164,7 @@
 		return t, NotRun(http.StatusNotFound, hop.ReasonNoRoute, "no route matches host, method and path")
 	}
 	t.route = rt
+	t.repeatedCall = e.repeatedCall(rt.Name)
 	name := e.splitter.Pool(rt)
 	t.pool, ok = snapshot.Pool(name)
 	if !ok {
@@ -172,6 +179,18 @@
 	return t, nil
 }
 
+// repeatedCall takes a request of a route, and reports whether it counts as a call of
+// repeated work.
+func (e *Entry) repeatedCall(route string) bool {
+	if e.config.Running == nil {
+		return false
+	}
+	running, repeats := e.config.Running()
+	e.originsMu.Lock()
+	defer e.originsMu.Unlock()
+	return e.origins.Arrived(route, running, repeats)
+}
+
 func checkRequest(r *http.Request, maxHeaderBytes int) *Refusal {
 	if r.Method == http.MethodConnect {
 		return NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "CONNECT is not supported")
--- a/entry/patience_test.go
+++ b/entry/patience_test.go
@@ -21,34 +21,12 @@
 // suspicion is how long the guards of the test refuse work as suspect.
 const suspicion = 300 * time.Millisecond
 
-// newPatientEntry serves one idempotent route before guards of which the first attempt
-// fails its backend server, and which refuse all others as suspect for a short time.
-func newPatientEntry(t *testing.T, guards int) (url string, dispatched *atomic.Int32) {
-	dispatched = &atomic.Int32{}
-	started := time.Now()
-	serveAttempt := func(w http.ResponseWriter, r *http.Request) {
-		w.WriteHeader(hop.StatusAccepted)
-		switch {
-		case dispatched.CompareAndSwap(0, 1):
-			w.Header().Set(hop.HeaderOutcome, string(hop.OutcomeAnswer))
-			w.Header().Set(hop.HeaderHealth, hop.HealthSuspect)
-			w.WriteHeader(http.StatusInternalServerError)
-		case time.Since(started) < suspicion:
-			w.Header().Set(hop.HeaderOutcome, string(hop.OutcomeNotRun))
-			w.Header().Set(hop.HeaderReason, string(hop.ReasonSuspect))
-			w.Header().Set(hop.HeaderHealth, hop.HealthSuspect)
-			w.Header().Set(hop.HeaderFailing, "900")
-			w.WriteHeader(http.StatusServiceUnavailable)
-		default:
-			dispatched.Add(1)
-			w.Header().Set(hop.HeaderOutcome, string(hop.OutcomeAnswer))
-			io.WriteString(w, "served")
-		}
-	}
+// newPatientEntry serves one idempotent route before guards that answer with h.
+func newPatientEntry(t *testing.T, guards, repeats int, h http.HandlerFunc) (url string) {
 	var backends []membership.Backend
 	for range guards {
 		n := newNode(t)
-		n.hop.set(http.HandlerFunc(serveAttempt))
+		n.hop.set(h)
 		backends = append(backends, membership.Backend{
 			ID: n.self.NodeID, Service: "service", Guard: n.self, Slots: 4, State: membership.StateReady,
 		})
@@ -63,6 +41,7 @@
 		View:               func() *membership.View { return view },
 		Resolver:           entry.NewControlResolver(&http.Client{}),
 		GuardsLimitRetries: true,
+		Running:            func() (int, int) { return repeats, repeats },
 		HoldAnswers:        true,
 		WaitForRoom:        true,
 		StrictDeadline:     true,
@@ -72,7 +51,7 @@
 	})
 	l := listen(t)
 	serve(t, e.Server(), l)
-	return "http://" + l.Addr().String(), dispatched
+	return "http://" + l.Addr().String()
 }
 
 // open lets every caller in.
@@ -82,14 +61,85 @@
 	return entry.Ask{}, nil
 }
 
+// failAttempt replies as a guard whose backend server failed the work.
+func failAttempt(w http.ResponseWriter) {
+	w.Header().Set(hop.HeaderOutcome, string(hop.OutcomeAnswer))
+	w.Header().Set(hop.HeaderHealth, hop.HealthSuspect)
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+// serveAttempt replies as a guard whose backend server served the work.
+func serveAttempt(w http.ResponseWriter) {
+	w.Header().Set(hop.HeaderOutcome, string(hop.OutcomeAnswer))
+	io.WriteString(w, "served")
+}
+
+// refuseSuspect replies as a guard that steers work away from its backend server.
+func refuseSuspect(w http.ResponseWriter) {
+	w.Header().Set(hop.HeaderOutcome, string(hop.OutcomeNotRun))
+	w.Header().Set(hop.HeaderReason, string(hop.ReasonSuspect))
+	w.Header().Set(hop.HeaderHealth, hop.HealthSuspect)
+	w.Header().Set(hop.HeaderFailing, "900")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // Guards against a caller that gets the failure of a re-test although the request may be
 // repeated and has most of its time left, because all other backend servers of a round
 // were suspected.
 func TestFailedReadWaitsForBackendServer(t *testing.T) {
-	url, dispatched := newPatientEntry(t, 8)
+	var dispatched atomic.Int32
+	started := time.Now()
+	url := newPatientEntry(t, 8, 0, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(hop.StatusAccepted)
+		switch {
+		case dispatched.CompareAndSwap(0, 1):
+			failAttempt(w)
+		case time.Since(started) < suspicion:
+			refuseSuspect(w)
+		default:
+			dispatched.Add(1)
+			serveAttempt(w)
+		}
+	})
 	res, err := client.Get(url + "/")
 	assert.NilError(t, err)
 	defer res.Body.Close()
 	assert.Equal(t, res.StatusCode, http.StatusOK)
 	assert.Equal(t, dispatched.Load(), int32(2))
 }
+
+// Guards against attempts that count against the wrong part of the budget of repeats, or
+// against none.
+func TestAttemptsStateHowTheyCount(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		repeats int
+		granted bool
+		want    [2]hop.Repeat
+	}{
+		{"repeat of its own", 0, false, [2]hop.Repeat{hop.RepeatNone, hop.RepeatLimited}},
+		{"granted repeat", 0, true, [2]hop.Repeat{hop.RepeatNone, hop.RepeatGranted}},
+		{"call of a repeated run", 1, false, [2]hop.Repeat{hop.RepeatCall, hop.RepeatLimited}},
+	} {
+		got := make(chan hop.Repeat, 2)
+		url := newPatientEntry(t, 2, c.repeats, func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(hop.StatusAccepted)
+			repeat := hop.Repeat(r.Header.Get(hop.HeaderRepeat))
+			got <- repeat
+			if repeat == hop.RepeatLimited || repeat == hop.RepeatGranted {
+				serveAttempt(w)
+				return
+			}
+			if c.granted {
+				w.Header().Set(hop.HeaderGrant, "true")
+			}
+			failAttempt(w)
+		})
+		res, err := client.Get(url + "/")
+		assert.NilError(t, err, c.desc)
+		res.Body.Close()
+		assert.Equal(t, res.StatusCode, http.StatusOK, c.desc)
+		assert.Equal(t, res.Header.Get(hop.HeaderGrant), "", c.desc)
+		assert.Equal(t, [2]hop.Repeat{<-got, <-got}, c.want, c.desc)
+	}
+}
--- a/entry/protocol.go
+++ b/entry/protocol.go
@@ -41,6 +41,8 @@
 	final bool
 	// answer is the failure of a backend server that no further attempt replaced.
 	answer *answer
+	// granted is set when the guard has counted the next attempt as a repeat.
+	granted bool
 }
 
 const (
@@ -78,6 +80,11 @@
 // succeeded reports whether the caller has its reply (nil), or an answer for it is held.
 func (f *Refusal) succeeded() bool { return f == nil || f.final && f.answer != nil }
 
+// arrived reports whether the attempt may have reached its backend server.
+func (f *Refusal) arrived() bool {
+	return f.Outcome != hop.OutcomeNotRun || f.Reason == hop.ReasonDeclined
+}
+
 // ended returns the refusal as one that no further attempt follows.
 func (f *Refusal) ended() *Refusal {
 	f.final = true
--- a/entry/task.go
+++ b/entry/task.go
@@ -48,6 +48,10 @@
 	// attempts counts the attempts made, arrivals those that may have reached a backend
 	// server, and sent those of them that may have run.
 	attempts, arrivals, sent int
+	// repeatedCall is set when the request counts as a call of repeated work.
+	repeatedCall bool
+	// granted is set when a guard has counted the next attempt as a repeat.
+	granted bool
 	// round counts the attempts since the request last waited for room.
 	round int
 	// declined is set when a backend server received the work and declined it.
@@ -120,6 +124,7 @@
 			return next
 		}
 		result = moreTelling(result, next)
+		t.granted = next.granted || t.granted && !next.arrived()
 		if !t.mayRetry(r.Context(), next) {
 			break
 		}
@@ -129,6 +134,19 @@
 	return result
 }
 
+// repeat says how the next attempt counts against the budget of repeats.
+func (t *task) repeat() hop.Repeat {
+	switch {
+	case t.arrivals > 0 && t.granted:
+		return hop.RepeatGranted
+	case t.arrivals > 0:
+		return hop.RepeatLimited
+	case t.repeatedCall:
+		return hop.RepeatCall
+	}
+	return hop.RepeatNone
+}
+
 // mayRetest reports whether the request may test a suspected backend server: it can be
 // repeated, and did not fail before.
 func (t *task) mayRetest() bool {
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -18,6 +18,7 @@
 
 // dispatch sends the attempt to its backend server and relays the answer.
 func (g *Guard) dispatch(ctx context.Context, w http.ResponseWriter, r *http.Request, body io.Reader, j job, s server) {
+	defer g.started(j)()
 	span := &backendTime{start: time.Now()}
 	reply := exchange.NewReply(w)
 	out, sending := exchange.NewRequest(ctx, r, s.backend.Address, body)
@@ -77,6 +78,7 @@
 // declined ends an attempt that the backend server did not run.
 func (g *Guard) declined(w http.ResponseWriter, j job, s server, status int, span *backendTime) {
 	g.log(j, s, hop.OutcomeNotRun, hop.ReasonDeclined, status, span)
+	g.grant(w.Header(), j)
 	g.refuse(w, j, hop.ReasonDeclined)
 }
 
@@ -143,6 +145,9 @@
 		reason = hop.ReasonAnswerLost
 	}
 	g.log(j, s, hop.OutcomeUnknown, reason, 0, span)
+	if j.mayRetest {
+		g.grant(w.Header(), j)
+	}
 	status := http.StatusBadGateway
 	if reason == hop.ReasonTimeout {
 		status = http.StatusGatewayTimeout
@@ -158,6 +163,9 @@
 	hop.DropProjectHeaders(res.Header)
 	head := res.Header.Clone()
 	g.stamp(head, j, hop.OutcomeAnswer)
+	if j.mayRetest && resultOf(res.StatusCode) == Failed {
+		g.grant(head, j)
+	}
 	reply.Head(res.StatusCode, head, res.Trailer)
 	if streamed {
 		reply.Flush()
--- a/guard/work.go
+++ b/guard/work.go
@@ -30,8 +30,8 @@
 	force        bool
 	// mayRetest is set for work with which a suspected backend server may be tested.
 	mayRetest bool
-	// repeat is set when the request may have reached a backend server before.
-	repeat bool
+	// repeat says how the attempt counts against the budget of repeats.
+	repeat hop.Repeat
 	// reading is that of the guard's clock which the attempt carries.
 	reading  hop.GuardTime
 	deadline time.Time
@@ -48,7 +48,7 @@
 		route:        h.Get(hop.HeaderRoute),
 		idempotent:   h.Get(hop.HeaderIdempotent) == "true",
 		force:        h.Get(hop.HeaderForce) == "true",
-		repeat:       h.Get(hop.HeaderRepeat) == "true",
+		repeat:       hop.Repeat(h.Get(hop.HeaderRepeat)),
 		mayRetest:    h.Get(hop.HeaderRetest) == "true",
 	}
 	var ok bool
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -22,7 +22,7 @@
 	HeaderForce         = "Jackdawlane-Force"
 	// HeaderRetest marks work with which a suspected backend server may be tested.
 	HeaderRetest = "Jackdawlane-Retest"
-	// HeaderRepeat marks an attempt of a request that may have reached a backend server before.
+	// HeaderRepeat holds a Repeat.
 	HeaderRepeat         = "Jackdawlane-Repeat"
 	HeaderIdempotencyKey = "Jackdawlane-Idempotency-Key"
 	// HeaderCancel marks a request that only cancels the attempt it names, because its caller has gone.
@@ -38,12 +38,31 @@
 	HeaderHealth    = "Jackdawlane-Health"
 	// HeaderFailing is the probability that the backend server is failing, in thousandths.
 	HeaderFailing = "Jackdawlane-Failing"
+	// HeaderGrant is "true" when the guard has counted the next attempt of the request
+	// against its own part of the budget of repeats.
+	HeaderGrant = "Jackdawlane-Grant"
 )
 
 // StatusAccepted is the informational status with which a guard acknowledges an
 // attempt without a body. One with a body is acknowledged by asking for the body.
 const StatusAccepted = http.StatusProcessing
 
+// Repeat says how an attempt counts against the budget of repeats.
+type Repeat string
+
+const (
+	// RepeatNone marks the first attempt of a request.
+	RepeatNone Repeat = ""
+	// RepeatLimited marks an attempt of a request that may have reached a backend server
+	// before. The guard that receives it counts it, and refuses it without room.
+	RepeatLimited Repeat = "true"
+	// RepeatGranted marks one that the guard of the attempt before has counted.
+	RepeatGranted Repeat = "granted"
+	// RepeatCall marks the first attempt of a call that repeated work makes. It counts as
+	// a repeat, and is not refused for that.
+	RepeatCall Repeat = "call"
+)
+
 // Outcome is what a caller may conclude from a reply.
 type Outcome string
 
--- /dev/null
+++ b/retry/origin.go
@@ -0,0 +1,75 @@
+package retry
+
+const (
+	// originWeight is that of one request in the share of a route, about the last fifty.
+	originWeight = 1.0 / 50
+	// minOrigins is the number of requests of a route before its share says anything.
+	minOrigins = 10
+	// independentShare is the share of requests that arrive while nothing runs from which
+	// a route is taken to be used by callers. A call arrives then only if its run was just
+	// given up.
+	independentShare = 0.05
+	// maxRoutes bounds the memory. Requests of routes beyond it count only if nothing
+	// but repeated work runs.
+	maxRoutes = 4096
+)
+
+// Origins counts how many requests are calls of repeated work at the local backend
+// server. Callers and the backend server send to the same address, but a call arrives
+// only while its run goes on, so a route that is used while nothing runs is one of
+// callers. It is not safe for concurrent use.
+type Origins struct {
+	routes map[string]*origin
+}
+
+type origin struct {
+	requests int
+	// idle is the decayed share of requests that arrived while nothing ran.
+	idle float64
+	// owed is the expected number of calls of repeated work that were not counted yet.
+	owed float64
+}
+
+// NewOrigins returns the knowledge of no routes.
+func NewOrigins() *Origins { return &Origins{routes: make(map[string]*origin)} }
+
+// Arrived takes a request of a route, and reports whether it counts as a call of repeated
+// work. Of the work that runs at the local backend server, some repeats; a call is as
+// likely to come from any of it, so the calls that count are as many as expected.
+func (o *Origins) Arrived(route string, running, repeats int) bool {
+	r := o.get(route)
+	r.learn(running)
+	if repeats == 0 || !r.calls() {
+		return false
+	}
+	r.owed += float64(repeats) / float64(max(running, repeats))
+	if r.owed < 1 {
+		return false
+	}
+	r.owed--
+	return true
+}
+
+func (o *Origins) get(route string) *origin {
+	r := o.routes[route]
+	if r == nil {
+		r = &origin{}
+		if len(o.routes) < maxRoutes {
+			o.routes[route] = r
+		}
+	}
+	return r
+}
+
+func (r *origin) learn(running int) {
+	r.requests++
+	idle := 0.0
+	if running == 0 {
+		idle = 1
+	}
+	// The first requests weigh as in a plain mean.
+	r.idle += (idle - r.idle) * max(originWeight, 1/float64(r.requests))
+}
+
+// calls reports whether the requests of the route may be calls.
+func (r *origin) calls() bool { return r.requests < minOrigins || r.idle < independentShare }
--- a/retry/window.go
+++ b/retry/window.go
@@ -43,6 +43,9 @@
 	return true
 }
 
+// Charge counts a repeat that cannot be refused, whether it fits or not.
+func (w *Window) Charge(now time.Duration) { w.at(now).repeats++ }
+
 // at returns the current step.
 func (w *Window) at(now time.Duration) *count {
 	number := int64(now / w.step)
