Take no failure as evidence that a failed call of the run explains

Cause: a backend server answers 500 when a call that it needs fails, and the guard took that for its own failure. Change: the entry tells the guard of its node when a request that may be a call fails; a failure with an answer is explained by one call that failed during the run.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,9 @@
 	// Running returns the work at the backend servers of this node, and how much of it
 	// repeats. Calls of repeated work count as repeats; nil means that none is made.
 	Running func() (all, repeats int)
+	// CallFailed is told when a call of a backend server of this node may have failed; nil
+	// tells nobody.
+	CallFailed func()
 	// RetryShare is the retries allowed for each request of a service; 0 means retry.DefaultShare.
 	RetryShare float64
 	// RetryMinimum is the retries per second of a service allowed without traffic.
@@ -164,7 +167,7 @@
 		return t, NotRun(http.StatusNotFound, hop.ReasonNoRoute, "no route matches host, method and path")
 	}
 	t.route = rt
-	t.repeatedCall = e.repeatedCall(rt.Name)
+	t.origin = e.origin(rt.Name)
 	name := e.splitter.Pool(rt)
 	t.pool, ok = snapshot.Pool(name)
 	if !ok {
@@ -179,11 +182,10 @@
 	return t, nil
 }
 
-// repeatedCall takes a request of a route, and reports whether it counts as a call of
-// repeated work.
-func (e *Entry) repeatedCall(route string) bool {
+// origin takes a request of a route, and returns where it may come from.
+func (e *Entry) origin(route string) retry.Origin {
 	if e.config.Running == nil {
-		return false
+		return retry.Origin{}
 	}
 	running, repeats := e.config.Running()
 	e.originsMu.Lock()
--- a/entry/task.go
+++ b/entry/task.go
@@ -48,8 +48,8 @@
 	// attempts counts the attempts made, arrivals those that may have reached a backend
 	// server, and sent those of them that may have run.
 	attempts, arrivals, sent int
-	// repeatedCall is set when the request counts as a call of repeated work.
-	repeatedCall bool
+	// origin says where the request may come from.
+	origin retry.Origin
 	// granted is set when a guard has counted the next attempt as a repeat.
 	granted bool
 	// round counts the attempts since the request last waited for room.
@@ -77,6 +77,7 @@
 	}
 	refused := t.attemptAll(w, r)
 	t.settleKey(refused)
+	t.blameCall(refused)
 	switch {
 	case refused == nil:
 		t.log(nil)
@@ -88,6 +89,15 @@
 	}
 }
 
+// blameCall reports the failure of a request that may be a call of a backend server of
+// this node, before the call's own failure can reach that.
+func (t *task) blameCall(refused *Refusal) {
+	failed := refused != nil && (refused.answer == nil || refused.answer.status >= http.StatusInternalServerError)
+	if failed && t.origin.MayBeCall && t.entry.config.CallFailed != nil {
+		t.entry.config.CallFailed()
+	}
+}
+
 // attemptAll makes attempts until one answers or none may follow.
 func (t *task) attemptAll(w http.ResponseWriter, r *http.Request) *Refusal {
 	result := NotRun(http.StatusServiceUnavailable, hop.ReasonNoBackend, "no backend server of the pool can be used")
@@ -141,7 +151,7 @@
 		return hop.RepeatGranted
 	case t.arrivals > 0:
 		return hop.RepeatLimited
-	case t.repeatedCall:
+	case t.origin.Repeated:
 		return hop.RepeatCall
 	}
 	return hop.RepeatNone
--- a/guard/backendtime.go
+++ b/guard/backendtime.go
@@ -15,6 +15,8 @@
 	start time.Time
 	// waited is the time spent waiting for the backend server.
 	waited time.Duration
+	// answered is set when the whole answer was relayed.
+	answered bool
 	// uploadBroken is set when the entry did not deliver the whole request.
 	uploadBroken bool
 }
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -71,6 +71,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	span.answered = true
 	g.observe(ctx, j, s, resultOf(res.StatusCode), span)
 	g.log(j, s, hop.OutcomeAnswer, "", res.StatusCode, span)
 }
@@ -197,7 +198,7 @@
 	}
 	s.queue.done(j.id, time.Since(span.start), admissionResults[r])
 	g.config.Observer.Observe(Dispatch{
-		BackendID: j.backendID, Service: j.service, Route: j.route, Result: r, Latency: span.waited,
+		BackendID: j.backendID, Service: j.service, Route: j.route, Result: r, Answered: span.answered, Latency: span.waited,
 	})
 }
 
--- a/guard/plug.go
+++ b/guard/plug.go
@@ -33,7 +33,9 @@
 	Service   string
 	Route     string
 	Result    Result
-	Latency   time.Duration
+	// Answered is set when the backend server gave a complete answer.
+	Answered bool
+	Latency  time.Duration
 }
 
 // Observer judges backend servers by their work.
--- a/observe/steering.go
+++ b/observe/steering.go
@@ -16,6 +16,7 @@
 	clock    func() time.Duration
 	mu       sync.Mutex
 	backends map[string]*steered
+	calls    health.Dependencies
 }
 
 type steered struct {
@@ -23,6 +24,13 @@
 	retested time.Duration
 }
 
+// CallFailed takes the failure of a call that one of the backend servers made.
+func (s *Steering) CallFailed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls.CallFailed(s.clock())
+}
+
 // NewSteering returns a judge without results. The clock returns the time since
 // an arbitrary start.
 func NewSteering(clock func() time.Duration) *Steering {
@@ -46,12 +54,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	if d.Result == guard.Shed {
+	if d.Result == guard.Shed || s.explained(now, d) {
 		return
 	}
 	s.get(d.BackendID, now).filter.Observe(now, d.Result == guard.Failed)
 }
 
+// explained reports whether the service that a run called is to blame for its failure.
+func (s *Steering) explained(now time.Duration, d guard.Dispatch) bool {
+	return d.Result == guard.Failed && d.Answered && s.calls.Explains(now-d.Latency, now)
+}
+
 // Reset forgets a backend server, for instance because another process has its place.
 func (s *Steering) Reset(id string) {
 	s.mu.Lock()
--- /dev/null
+++ b/observe/steering_test.go
@@ -0,0 +1,28 @@
+package observe
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/guard"
+)
+
+// Guards against backend servers that are suspected because a service that they call
+// fails, and against failures without an answer that a failed call excuses.
+func TestFailureOfCallIsNoEvidence(t *testing.T) {
+	now := time.Second
+	s := NewSteering(func() time.Duration { return now })
+	s.Observe(guard.Dispatch{BackendID: "b", Result: guard.OK, Answered: true})
+	now += time.Second
+	failed := guard.Dispatch{BackendID: "b", Result: guard.Failed, Answered: true, Latency: 200 * time.Millisecond}
+	s.CallFailed()
+	now += 100 * time.Millisecond
+	s.Observe(failed)
+	assert.Equal(t, s.State("b"), guard.Healthy)
+	s.CallFailed()
+	failed.Answered = false
+	s.Observe(failed)
+	assert.Equal(t, s.State("b"), guard.Suspect)
+}
--- a/retry/origin.go
+++ b/retry/origin.go
@@ -14,8 +14,16 @@
 	maxRoutes = 4096
 )
 
-// Origins counts how many requests are calls of repeated work at the local backend
-// server. Callers and the backend server send to the same address, but a call arrives
+// Origin says where a request may come from.
+type Origin struct {
+	// MayBeCall is set when it may be a call of work at the local backend server.
+	MayBeCall bool
+	// Repeated is set when it counts as a call of repeated work.
+	Repeated bool
+}
+
+// Origins tells the requests of callers from the calls that the local backend server
+// makes, and counts those that repeated work makes. Callers and the backend server send to the same address, but a call arrives
 // only while its run goes on, so a route that is used while nothing runs is one of
 // callers. It is not safe for concurrent use.
 type Origins struct {
@@ -33,21 +41,21 @@
 // NewOrigins returns the knowledge of no routes.
 func NewOrigins() *Origins { return &Origins{routes: make(map[string]*origin)} }
 
-// Arrived takes a request of a route, and reports whether it counts as a call of repeated
-// work. Of the work that runs at the local backend server, some repeats; a call is as
-// likely to come from any of it, so the calls that count are as many as expected.
-func (o *Origins) Arrived(route string, running, repeats int) bool {
+// Arrived takes a request of a route. Of the work that runs at the local backend server,
+// some repeats; a call is as likely to come from any of it, so the calls that count as
+// repeated are as many as expected.
+func (o *Origins) Arrived(route string, running, repeats int) Origin {
 	r := o.get(route)
 	r.learn(running)
-	if repeats == 0 || !r.calls() {
-		return false
+	if running == 0 || !r.calls() {
+		return Origin{}
 	}
-	r.owed += float64(repeats) / float64(max(running, repeats))
+	r.owed += float64(repeats) / float64(running)
 	if r.owed < 1 {
-		return false
+		return Origin{MayBeCall: true}
 	}
 	r.owed--
-	return true
+	return Origin{MayBeCall: true, Repeated: true}
 }
 
 func (o *Origins) get(route string) *origin {
--- a/retry/origin_test.go
+++ b/retry/origin_test.go
@@ -17,20 +17,22 @@
 	for range 2000 {
 		running := random.IntN(4)
 		repeats := random.IntN(running + 1)
-		if o.Arrived("of callers", running, repeats) {
+		if o.Arrived("of callers", running, repeats).Repeated {
 			callers++
 		}
 		// A call of a run that was given up arrives late.
 		if running == 0 && random.IntN(100) > 0 {
 			continue
 		}
-		if o.Arrived("of calls", running, repeats) {
+		if o.Arrived("of calls", running, repeats).Repeated {
 			calls++
 		}
 		if running > 0 {
 			expected += float64(repeats) / float64(running)
 		}
 	}
+	assert.Equal(t, o.Arrived("of callers", 1, 0), Origin{})
+	assert.Equal(t, o.Arrived("of calls", 1, 0), Origin{MayBeCall: true})
 	assert.Assert(t, callers < minOrigins, "%d requests of callers", callers)
 	assert.Assert(t, float64(calls) > expected-1 && float64(calls) <= expected, "%d calls of %.1f", calls, expected)
 }
@@ -42,5 +44,5 @@
 		o.Arrived(fmt.Sprint(i), 0, 0)
 	}
 	assert.Equal(t, len(o.routes), maxRoutes)
-	assert.Assert(t, o.Arrived("another", 1, 1))
+	assert.Equal(t, o.Arrived("another", 1, 1), Origin{MayBeCall: true, Repeated: true})
 }
