--- a/entry/answer.go
+++ b/entry/answer.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"bytes"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -22,17 +20,10 @@
 // long to hold; the body of res then still has all of it. It returns
 // exchange.ErrRead when the answer breaks off.
 func hold(res *http.Response) (*answer, bool, error) {
-	whole, body, err := exchange.ReadShort(res.Body)
-	if err != nil {
+	whole, body, err := exchange.ReadShort(res)
+	if err != nil || !whole {
 		return nil, false, err
 	}
-	if !whole {
-		res.Body = struct {
-			io.Reader
-			io.Closer
-		}{io.MultiReader(bytes.NewReader(body), res.Body), res.Body}
-		return nil, false, nil
-	}
 	return &answer{status: res.StatusCode, header: res.Header, trailer: res.Trailer, body: body}, true, nil
 }
 
--- a/exchange/short.go
+++ b/exchange/short.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"bytes"
 	"io"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 )
@@ -9,12 +11,20 @@
 // ShortBytes is the length up to which an answer is read to its end before it is relayed.
 const ShortBytes = 256 << 10
 
-// ReadShort reads a body of up to ShortBytes. whole is false when there is more;
-// data is then the first part. It returns ErrRead when the body breaks off.
-func ReadShort(body io.Reader) (whole bool, data []byte, err error) {
-	data, err = io.ReadAll(io.LimitReader(body, ShortBytes+1))
+// ReadShort reads the body of an answer of up to ShortBytes. whole is false when there is
+// more; data is then the first part, and the body of res still has all of it. It returns
+// ErrRead when the body breaks off.
+func ReadShort(res *http.Response) (whole bool, data []byte, err error) {
+	data, err = io.ReadAll(io.LimitReader(res.Body, ShortBytes+1))
 	if err != nil {
 		return false, nil, errors.Mark(err, ErrRead)
 	}
-	return len(data) <= ShortBytes, data, nil
+	if len(data) <= ShortBytes {
+		return true, data, nil
+	}
+	res.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(data), res.Body), res.Body}
+	return false, data, nil
 }
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -85,17 +85,10 @@
 
 // holdShort reads a short answer to its end, so that one that breaks off is reported as lost.
 func holdShort(res *http.Response) error {
-	whole, data, err := exchange.ReadShort(res.Body)
-	if err != nil {
+	whole, data, err := exchange.ReadShort(res)
+	if err != nil || !whole {
 		return err
 	}
-	if !whole {
-		res.Body = struct {
-			io.Reader
-			io.Closer
-		}{io.MultiReader(bytes.NewReader(data), res.Body), res.Body}
-		return nil
-	}
 	res.Body = io.NopCloser(bytes.NewReader(data))
 	if res.ContentLength < 0 && len(res.Trailer) == 0 && res.Request.Method != http.MethodHead {
 		res.ContentLength = int64(len(data))
