--- a/entry/body.go
+++ b/entry/body.go
@@ -24,17 +24,26 @@
 	rest *stallReader
 }
 
-// readBody reads the first part of the body.
-func readBody(w http.ResponseWriter, r *http.Request, stall time.Duration) (*body, *Refusal) {
+// readBody reads the first part of the body. A body above limit is refused; 0 means no limit.
+func readBody(w http.ResponseWriter, r *http.Request, stall time.Duration, limit int64) (*body, *Refusal) {
 	if r.ContentLength == 0 {
 		return &body{}, nil
 	}
+	if limit > 0 && r.ContentLength > limit {
+		return nil, bodyTooLarge()
+	}
+	if limit > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	}
 	rest := &stallReader{reader: r.Body, controller: http.NewResponseController(w), timeout: stall}
 	var prefix bytes.Buffer
 	n, err := io.Copy(&prefix, io.LimitReader(rest, maxReplayable+1))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, NotRun(http.StatusRequestTimeout, hop.ReasonTimeout, "the request body made no progress")
 	}
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		return nil, bodyTooLarge()
+	}
 	if err != nil {
 		return nil, NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "the request body is malformed or broke off")
 	}
@@ -46,6 +55,10 @@
 	return &body{prefix: prefix.Bytes(), rest: rest}, nil
 }
 
+func bodyTooLarge() *Refusal {
+	return NotRun(http.StatusRequestEntityTooLarge, hop.ReasonBodyTooLarge, "the request body is too large")
+}
+
 // reader returns the whole body.
 func (b *body) reader() io.Reader {
 	if b.rest == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,7 +131,7 @@
 	}
 	t, refused := e.accept(r, received)
 	if refused == nil {
-		t.body, refused = readBody(w, r, e.config.Limits.BodyStallTimeout)
+		t.body, refused = readBody(w, r, e.config.Limits.BodyStallTimeout, t.maxBody)
 	}
 	if refused == nil {
 		t.key, refused = t.useKey(r, received)
@@ -161,6 +161,10 @@
 	if refused != nil {
 		return t, refused
 	}
+	if ask.HeaderBytes > 0 && int64(headerBytes(r)) > ask.HeaderBytes {
+		return t, headersTooLarge()
+	}
+	t.maxBody = ask.BodyBytes
 	hop.DropProjectHeaders(r.Header)
 	rt, ok := snapshot.Match(ask.Organisation, r.Host, r.Method, r.URL.Path)
 	if !ok {
@@ -198,11 +202,15 @@
 		return NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "CONNECT is not supported")
 	}
 	if headerBytes(r) > maxHeaderBytes {
-		return NotRun(http.StatusRequestHeaderFieldsTooLarge, hop.ReasonBadRequest, "the headers are too large")
+		return headersTooLarge()
 	}
 	return nil
 }
 
+func headersTooLarge() *Refusal {
+	return NotRun(http.StatusRequestHeaderFieldsTooLarge, hop.ReasonBadRequest, "the headers are too large")
+}
+
 // lineBytes is the length of ": " and CRLF of a header line.
 const lineBytes = 4
 
--- a/entry/protocol.go
+++ b/entry/protocol.go
@@ -17,6 +17,8 @@
 	RequestID string
 	// Timeout is the time that the caller waits; 0 means the route's timeout.
 	Timeout time.Duration
+	// HeaderBytes and BodyBytes bound the request below the settings of the entry; 0 does not.
+	HeaderBytes, BodyBytes int64
 }
 
 // Protocol is the interface between callers and the entry.
--- a/entry/task.go
+++ b/entry/task.go
@@ -41,6 +41,8 @@
 	body      *body
 	// size is that of the request's headers in bytes.
 	size int64
+	// maxBody bounds the body in bytes; 0 does not.
+	maxBody int64
 	// started is when the first attempt could be made.
 	started time.Time
 	// key is nil for a request without an idempotency key.
