Take the first failure after a start of the guard as evidence

Cause: a filter began at a probability of failing of 0, which no result can raise, so the first failure after a start or a restart of the backend server made nothing suspect. Change: it begins at the long-run share, as after a minute without results.

--- a/health/filter.go
+++ b/health/filter.go
@@ -14,6 +14,11 @@
 	SoundFailures, FailingFailures float64
 }
 
+// longRun returns the share of time in the failing condition.
+func (m FilterModel) longRun() float64 {
+	return m.MeanFailing.Seconds() / (m.MeanFailing + m.MeanSound).Seconds()
+}
+
 // DefaultFilterModel fits gray failures that last seconds and fail most of the
 // work. Work that fails at a sound backend server is mostly the fault of the
 // request itself.
@@ -52,10 +57,9 @@
 	passed bool
 }
 
-// NewFilter returns the filter of a backend server that has just started and is
-// taken to be sound.
+// NewFilter returns the filter of a backend server of which nothing is known.
 func NewFilter(m FilterModel, now time.Duration) *Filter {
-	return &Filter{model: m, at: now}
+	return &Filter{model: m, at: now, failing: m.longRun()}
 }
 
 // Failing returns the probability that the backend server is failing at now.
@@ -101,7 +105,7 @@
 		return
 	}
 	toFailing, toSound := 1/f.model.MeanSound.Seconds(), 1/f.model.MeanFailing.Seconds()
-	longRun := toFailing / (toFailing + toSound)
+	longRun := f.model.longRun()
 	keep := math.Exp(-(toFailing + toSound) * (now - f.at).Seconds())
 	f.failing = longRun + (f.failing-longRun)*keep
 	f.at = now
--- a/health/filter_test.go
+++ b/health/filter_test.go
@@ -75,3 +75,11 @@
 	assert.Assert(t, low > 1000)
 	assert.Assert(t, float64(lowFailing)/float64(low) < 0.1)
 }
+
+// Guards against a guard that has just started and takes the first failure for nothing.
+func TestFirstResultIsEvidence(t *testing.T) {
+	f := NewFilter(DefaultFilterModel, 0)
+	assert.Assert(t, !f.Suspect(0))
+	f.Observe(0, true)
+	assert.Assert(t, f.Suspect(0))
+}
