Send work that a guard left unanswered to the guard heard last

Cause: an idempotent request whose guard did not acknowledge it went to another one at random. Ruled out: a shorter time for the acknowledgement (0.4 s is several round trips between regions); not counting such attempts, because a guard that wakes up may still run them. Change: the next attempt goes to the backend server of the region whose guard replied last.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -77,6 +77,9 @@
 	Near bool
 	// Patient work may wait until a backend server that is likely to fail has recovered.
 	Patient bool
+	// Unanswered work was sent to a guard that did not reply in time. Others may be silent
+	// for the same reason, so it goes to the one that replied last.
+	Unanswered bool
 	// Retest work goes to backend servers that refused other work as suspect; their
 	// guards decide which of it they take.
 	Retest bool
@@ -110,7 +113,7 @@
 	p.loads.sweep(now)
 	groups := p.group(now, candidates, a)
 	for t := range tiers {
-		best := p.spill(now, rng, &groups[t], choices+len(a.Tried))
+		best := p.choose(now, rng, &groups[t], a)
 		if best == nil {
 			continue
 		}
@@ -224,6 +227,31 @@
 	return RingDataCentre
 }
 
+func (p *Picker) choose(now time.Duration, rng *rand.Rand, g *grouped, a Attempt) *membership.Backend {
+	if a.Unanswered {
+		if best := p.lastHeard(g); best != nil {
+			return best
+		}
+	}
+	return p.spill(now, rng, g, choices+len(a.Tried))
+}
+
+// lastHeard returns the backend server of the region whose guard replied last, or nil
+// when none is known to have replied.
+func (p *Picker) lastHeard(g *grouped) *membership.Backend {
+	var best *membership.Backend
+	var heard time.Duration
+	for _, ring := range g[:RingOther] {
+		for _, m := range ring {
+			known := p.loads.byID[m.ID]
+			if known != nil && known.known && (best == nil || known.reported > heard) {
+				best, heard = m, known.reported
+			}
+		}
+	}
+	return best
+}
+
 // spill returns the choice of the nearest ring, or of a farther one when the
 // nearer is loaded and the farther clearly less so.
 func (p *Picker) spill(now time.Duration, rng *rand.Rand, g *grouped, n int) *membership.Backend {
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -198,3 +198,18 @@
 	}
 	assert.Assert(t, joined > 40, "%d of 300", joined)
 }
+
+// Guards against a second attempt at a guard that is as silent as the first one.
+func TestUnansweredWorkGoesToTheGuardHeardLast(t *testing.T) {
+	all := []membership.Backend{server(1, "r1", "r1a"), server(2, "r1", "r1b"), server(3, "r1", "r1b"), server(4, "r2", "r2a")}
+	p, r := newPicker(1000), rng()
+	for i, id := range []string{"s@3", "s@2", "s@4"} {
+		p.End(time.Duration(i)*time.Second, id, Reply{Load: 0.5, HasLoad: true})
+	}
+	for range 20 {
+		choice, ok := p.Pick(4*time.Second, r, all, Attempt{Unanswered: true})
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Backend.ID, "s@2", "the last one of the region")
+		p.End(0, "s@2", Reply{})
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -70,12 +70,12 @@
 	y.ending.replied = err == nil
 	y.ending.failed = err != nil && r.Context().Err() == nil
 	if err != nil && !sent {
-		return NotRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard cannot be reached")
+		return NotRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard cannot be reached").withoutReply()
 	}
 	if err != nil {
 		// Waits until a Read that failed has said why.
 		sending.Close()
-		return y.lost()
+		return y.lost().withoutReply()
 	}
 	defer res.Body.Close()
 	t.entry.readings.learn(b.Guard, res.Header.Get(hop.HeaderGuardTime))
--- a/entry/protocol.go
+++ b/entry/protocol.go
@@ -43,6 +43,8 @@
 	final bool
 	// answer is the failure of a backend server that no further attempt replaced.
 	answer *answer
+	// unanswered is set when the guard did not reply.
+	unanswered bool
 	// granted is set when the guard has counted the next attempt as a repeat.
 	granted bool
 }
@@ -87,6 +89,14 @@
 	return f.Outcome != hop.OutcomeNotRun || f.Reason == hop.ReasonDeclined
 }
 
+// withoutReply notes that the guard did not reply.
+func (f *Refusal) withoutReply() *Refusal {
+	if f != nil {
+		f.unanswered = true
+	}
+	return f
+}
+
 // ended returns the refusal as one that no further attempt follows.
 func (f *Refusal) ended() *Refusal {
 	f.final = true
--- a/entry/scripted_test.go
+++ b/entry/scripted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -22,6 +23,9 @@
 // suspicion is how long the guards of the test refuse work as suspect.
 const suspicion = 300 * time.Millisecond
 
+// acceptTimeout is the time in which the guards of the test acknowledge an attempt.
+const acceptTimeout = 200 * time.Millisecond
+
 // newScripted serves one idempotent route before guards whose replies h writes.
 func newScripted(t *testing.T, guards, repeats int, h http.HandlerFunc) (url string) {
 	var backends []membership.Backend
@@ -46,7 +50,7 @@
 		HoldAnswers:        true,
 		WaitForRoom:        true,
 		StrictDeadline:     true,
-		AcceptTimeout:      time.Second,
+		AcceptTimeout:      acceptTimeout,
 		Limits:             settings.Limits{MaxHeaderBytes: 8 << 10, BodyStallTimeout: time.Second, RegionBytes: 1 << 20},
 		Protocol:           open{},
 	})
@@ -182,3 +186,27 @@
 		assert.Equal(t, attempts.Load(), c.arrives, c.desc)
 	}
 }
+
+// Guards against idempotent work that uses up its attempts at guards that have all gone
+// silent, as many do at once when VMs stand still, while the entry knows one that replies.
+func TestUnansweredWorkGoesToGuardThatReplies(t *testing.T) {
+	var alive atomic.Value
+	url := newScripted(t, 12, 0, func(w http.ResponseWriter, r *http.Request) {
+		// The first guard that gets work is the only one that replies.
+		self := r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+		alive.CompareAndSwap(nil, self)
+		if alive.Load() != self {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(hop.StatusAccepted)
+		w.Header().Set(hop.HeaderLoad, "0/4;wait-ms=0")
+		serveAttempt(w)
+	})
+	for i := range 4 {
+		res, err := client.Get(url + "/")
+		assert.NilError(t, err)
+		res.Body.Close()
+		assert.Equal(t, res.StatusCode, http.StatusOK, "request %d", i)
+	}
+}
--- a/entry/task.go
+++ b/entry/task.go
@@ -136,6 +136,7 @@
 			return next
 		}
 		result = moreTelling(result, next)
+		attempt.Unanswered = next.unanswered
 		t.granted = next.granted || t.granted && !next.arrived()
 		if !t.mayRetry(r.Context(), next) {
 			break
