--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -10,6 +10,7 @@
 export JACKDAWLANE_STORE=127.0.0.1:$port_base
 
 pids=()
+names=()
 
 stop_all() {
   trap - EXIT INT TERM
@@ -25,6 +26,33 @@
   shift
   "$@" >"$work/$name.log" 2>&1 &
   pids+=($!)
+  names+=("$name")
+}
+
+# Names the processes that have ended, with their last words, and fails.
+report_ended() {
+  local i ended=0
+  for i in "${!pids[@]}"; do
+    if ! kill -0 "${pids[$i]}" 2>/dev/null; then
+      ended=1
+      echo "${names[$i]} ended; its last lines:" >&2
+      tail -n 5 "$work/${names[$i]}.log" | sed 's/^/    /' >&2
+    fi
+  done
+  [ $ended = 0 ] || exit 1
+}
+
+# until_ok WHAT COMMAND... waits until the command succeeds, for 30 s at most.
+until_ok() {
+  local what=$1
+  shift
+  for _ in $(seq 300); do
+    "$@" >/dev/null 2>&1 && return
+    report_ended
+    sleep 0.1
+  done
+  echo "not reached within 30 s: $what" >&2
+  exit 1
 }
 
 # node NAME NUMBER REGION DATA_CENTRE
@@ -53,7 +81,7 @@
 }
 
 start store bin/jackdawstub objectstore --listen "$JACKDAWLANE_STORE"
-until bin/jackdawlane route list >/dev/null 2>&1; do sleep 0.1; done
+until_ok "the store answers" bin/jackdawlane route list
 
 secret_hash=$(echo kitami-secret | bin/jackdawlane hash)
 announce_hash=$(echo announce-secret | bin/jackdawlane hash)
@@ -89,10 +117,8 @@
 done
 
 echo "waiting until all 12 backend servers are known"
-for _ in $(seq 300); do
-  [ "$(bin/jackdawlane status backends 2>/dev/null | grep -c ' ready ')" = 12 ] && break
-  sleep 0.1
-done
+all_known() { [ "$(bin/jackdawlane status backends 2>/dev/null | grep -c ' ready ')" = 12 ]; }
+until_ok "12 backend servers are known" all_known
 bin/jackdawlane status
 bin/jackdawlane status backends
 bin/jackdawlane explain --organisation kitami --method POST /bookings/1
