--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -104,7 +104,7 @@
 	}
 	load := s.queue.load()
 	g.config.Logger.Info("dispatch",
-		"id", j.requestID, "instance", s.instance, "service", j.service, "retest", j.retest, "forced", j.force,
+		"id", j.requestID, "instance", s.instance, "service", j.service, "retest", j.retest, "forced", j.force, "repeat", string(j.repeat),
 		"running", load.Running, "limit", load.Limit, "queued", load.Queued, "outcome", string(outcome), "reason", string(reason),
 		"status", status, "health", string(g.config.Observer.State(j.backendID)),
 		"ms", time.Since(span.start).Milliseconds())
