Avoid backend servers that are known to be gone

Cause: an entry forgot at once that a guard had no backend server, or that it was leaving. Ruled out: a lack of room (load 0 elsewhere), stale configuration (version 12 everywhere). Change: such a refusal is remembered for 1 s, in which the backend server comes after all others, like one without a path. The test of waiting reads was flaky since it was written (4 of 100 runs beside the soak): a node of the soak polled, through a relay, the address that its store had before, which the test had got from the system.

--- a/balance/load.go
+++ b/balance/load.go
@@ -22,6 +22,9 @@
 	averageWeight = 1.0 / 32
 	// suspectTime is the time for which a refusal as suspect is remembered.
 	suspectTime = time.Second
+	// absentTime is the time for which a refusal without a backend server is remembered. A
+	// record may outlive its backend server, and one that starts announces itself within seconds.
+	absentTime = time.Second
 	// forgetTime bounds the memory of backend servers that no longer exist.
 	forgetTime = time.Minute
 )
@@ -47,6 +50,7 @@
 	known     bool
 	suspected time.Duration // until
 	failing   float64       // while suspected
+	absent    time.Duration // until
 	seen      time.Duration
 	// sent is the number of attempts since the last report.
 	sent int
@@ -104,6 +108,8 @@
 	case r.Suspect:
 		b.suspected = now + suspectTime
 		b.failing = r.Failing
+	case r.Reason == hop.ReasonNoBackend || r.Reason == hop.ReasonLeaving || r.Reason == hop.ReasonStopping:
+		b.absent = now + absentTime
 	case r.Reason == hop.ReasonFull && (!ok || load < 1):
 		load, ok = refusedLoad, true
 	}
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -205,7 +205,7 @@
 		return unusable
 	case m.Ejected:
 		return tierEjected
-	case !p.paths.Usable(now, m.Guard.NodeID):
+	case !p.paths.Usable(now, m.Guard.NodeID), known != nil && now < known.absent:
 		return tierNoPath
 	case tried:
 		return tierRefused
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -213,3 +213,18 @@
 		p.End(0, "s@2", Reply{})
 	}
 }
+
+// Guards against attempts at backend servers that are known to be gone while others are left.
+func TestAbsentBackendServerIsAvoided(t *testing.T) {
+	all := []membership.Backend{server(1, "r1", "r1a"), server(2, "r1", "r1b")}
+	for _, reason := range []hop.Reason{hop.ReasonNoBackend, hop.ReasonLeaving, hop.ReasonStopping} {
+		p, r := newPicker(1000), rng()
+		p.End(0, "s@1", Reply{Reason: reason})
+		choice, ok := p.Pick(absentTime-1, r, all, Attempt{})
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Backend.ID, "s@2", reason)
+		choice, ok = p.Pick(absentTime, r, all, Attempt{})
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Backend.ID, "s@1", reason)
+	}
+}
--- a/entry/scripted_test.go
+++ b/entry/scripted_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -26,12 +27,27 @@
 // acceptTimeout is the time in which the guards of the test acknowledge an attempt.
 const acceptTimeout = 200 * time.Millisecond
 
+// scripted is a guard of a data centre whose replies a handler writes.
+type scripted struct {
+	dataCentre string
+	handler    http.HandlerFunc
+}
+
+// home is the data centre of the entry.
+const home = "home"
+
 // newScripted serves one idempotent route before guards whose replies h writes.
 func newScripted(t *testing.T, guards, repeats int, h http.HandlerFunc) (url string) {
+	return newPlaced(t, slices.Repeat([]scripted{{"", h}}, guards), repeats)
+}
+
+// newPlaced serves one idempotent route before guards.
+func newPlaced(t *testing.T, guards []scripted, repeats int) (url string) {
 	var backends []membership.Backend
-	for range guards {
+	for _, g := range guards {
 		n := newNode(t)
-		n.hop.set(h)
+		n.hop.set(attemptsOnly(g.handler))
+		n.self.DataCentre = g.dataCentre
 		backends = append(backends, membership.Backend{
 			ID: n.self.NodeID, Service: "service", Guard: n.self, Slots: 4, State: membership.StateReady,
 		})
@@ -42,6 +58,7 @@
 	view := membership.NewView(backends)
 	e := entry.New(entry.Config{
 		Region:             "region",
+		DataCentre:         home,
 		Snapshot:           func() *config.Snapshot { return snapshot },
 		View:               func() *membership.View { return view },
 		Resolver:           entry.NewControlResolver(&http.Client{}),
@@ -59,6 +76,18 @@
 	return "http://" + l.Addr().String()
 }
 
+// attemptsOnly keeps requests from a handler that entries did not send. Programs of tests
+// that run at the same time may poll an address that a server of theirs had before.
+func attemptsOnly(next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(hop.HeaderAttempt) == "" {
+			http.NotFound(w, r)
+			return
+		}
+		next(w, r)
+	})
+}
+
 // open lets every caller in, with bodies of up to maxOpenBody and headers of up to maxOpenHeader.
 type open struct{ entry.Native }
 
@@ -210,3 +239,28 @@
 		assert.Equal(t, res.StatusCode, http.StatusOK, "request %d", i)
 	}
 }
+
+// Guards against requests that are refused because every round asks the same guards of the
+// data centre, whose backend servers are all gone, while another data centre has one.
+func TestBackendServersGoneInOneDataCentre(t *testing.T) {
+	var asked atomic.Int32
+	gone := scripted{home, func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.Header().Set(hop.HeaderOutcome, string(hop.OutcomeNotRun))
+		w.Header().Set(hop.HeaderReason, string(hop.ReasonNoBackend))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}}
+	serving := scripted{"other", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(hop.StatusAccepted)
+		serveAttempt(w)
+	}}
+	const size = 8
+	url := newPlaced(t, append(slices.Repeat([]scripted{gone}, size), serving), 0)
+	for i := range 10 {
+		res, err := client.Get(url + "/")
+		assert.NilError(t, err)
+		res.Body.Close()
+		assert.Equal(t, res.StatusCode, http.StatusOK, "request %d", i)
+	}
+	assert.Equal(t, asked.Load(), int32(size), "each guard is asked once within the second")
+}
