Answer the command status on the platform

A node on the platform left the call Status unanswered, so operators had logs and metrics only. It now reports its own record, with the version in force and the judgement of its backend server, and the directory. The encoding of backend servers moved from node to control, where both kinds of nodes use it.

--- a/control/server.go
+++ b/control/server.go
@@ -52,10 +52,18 @@
 	Page(hash string) ([]byte, bool)
 }
 
+// Records are the records that Status reports.
+type Records interface {
+	// Records returns the own record and those of all nodes. The caller must not change them.
+	Records() (own *pb.NodeRecord, all []*pb.NodeRecord)
+}
+
 // Services are what the calls of ControlService are delegated to. A call whose
 // service is nil answers connect.CodeUnimplemented.
 type Services struct {
-	Syncer   *Syncer
+	Syncer *Syncer
+	// Records take the place of those of Syncer in Status.
+	Records  Records
 	Config   ConfigSource
 	Attempts Attempts
 	Reports  Reports
@@ -108,10 +116,14 @@
 }
 
 func (h *handler) Status(_ context.Context, r *pb.StatusRequest) (*pb.StatusResponse, error) {
-	if h.Syncer == nil {
+	source := h.Services.Records
+	if source == nil && h.Syncer != nil {
+		source = h.Syncer
+	}
+	if source == nil {
 		return nil, unimplemented("Status")
 	}
-	own, records := h.Syncer.Records()
+	own, records := source.Records()
 	if h.Config != nil {
 		// The record is not sent again when the version changes, so its version is older.
 		own = proto.CloneOf(own)
--- a/node/node.go
+++ b/node/node.go
@@ -150,7 +150,7 @@
 		if n.stopping.Load() {
 			state = pb.NodeState_NODE_STATE_LEAVING
 		}
-		if err := n.syncer.UpdateOwn(state, wireBackends(n.guard.Backends(time.Now()))); err != nil {
+		if err := n.syncer.UpdateOwn(state, control.EncodeBackends(n.guard.Backends(time.Now()))); err != nil {
 			return
 		}
 		select {
--- a/node/record.go
+++ b/node/record.go
@@ -2,7 +2,6 @@
 
 import (
 	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
-	"github.com/jackdawlane/jackdawlane/membership"
 	"github.com/jackdawlane/jackdawlane/settings"
 )
 
@@ -28,26 +27,3 @@
 	}
 	return out
 }
-
-var wireStates = map[membership.State]pb.BackendState{
-	membership.StateStarting: pb.BackendState_BACKEND_STATE_STARTING,
-	membership.StateReady:    pb.BackendState_BACKEND_STATE_READY,
-	membership.StateLeaving:  pb.BackendState_BACKEND_STATE_LEAVING,
-}
-
-func wireBackends(backends []membership.Backend) []*pb.BackendServer {
-	out := make([]*pb.BackendServer, len(backends))
-	for i, b := range backends {
-		out[i] = &pb.BackendServer{
-			Id:          b.ID,
-			Service:     b.Service,
-			Address:     b.Address,
-			Slots:       uint32(b.Slots),
-			Connections: uint32(b.Connections),
-			State:       wireStates[b.State],
-			Suspect:     b.Suspect,
-			Ejected:     b.Ejected,
-		}
-	}
-	return out
-}
