--- a/balance/picker.go
+++ b/balance/picker.go
@@ -227,6 +227,7 @@
 	return RingDataCentre
 }
 
+// choose returns the candidate of a tier for the attempt, or nil when there is none.
 func (p *Picker) choose(now time.Duration, rng *rand.Rand, g *grouped, a Attempt) *membership.Backend {
 	if a.Unanswered {
 		if best := p.lastHeard(g); best != nil {
--- a/retry/origin.go
+++ b/retry/origin.go
@@ -23,14 +23,15 @@
 }
 
 // Origins tells the requests of callers from the calls that the local backend server
-// makes, and counts those that repeated work makes. Callers and the backend server send to the same address, but a call arrives
-// only while its run goes on, so a route that is used while nothing runs is one of
-// callers. It is not safe for concurrent use.
+// makes, and counts those that repeated work makes. Callers and the backend server send
+// to the same address, but a call arrives only while its run goes on, so a route that is
+// used while nothing runs is one of callers. It is not safe for concurrent use.
 type Origins struct {
 	routes map[string]*origin
 }
 
 type origin struct {
+	// requests counts the requests of the route since the start.
 	requests int
 	// idle is the decayed share of requests that arrived while nothing ran.
 	idle float64
@@ -58,6 +59,7 @@
 	return Origin{MayBeCall: true, Repeated: true}
 }
 
+// get returns what is known of a route; beyond maxRoutes it is not kept.
 func (o *Origins) get(route string) *origin {
 	r := o.routes[route]
 	if r == nil {
@@ -69,6 +71,7 @@
 	return r
 }
 
+// learn takes whether work runs when a request arrives.
 func (r *origin) learn(running int) {
 	r.requests++
 	idle := 0.0
