--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/jackdawlane/jackdawlane/exchange"
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/membership"
+	"github.com/jackdawlane/jackdawlane/pipeline"
 	"github.com/jackdawlane/jackdawlane/pool"
 	"github.com/jackdawlane/jackdawlane/retry"
 	"github.com/jackdawlane/jackdawlane/route"
@@ -150,6 +151,10 @@
 		rs.writeError(w, errReply)
 		return
 	}
+	if !rs.route.Idempotent && !pipeline.WaitTurn(r.Context()) {
+		rs.writeError(w, NotRun(http.StatusServiceUnavailable, hop.ReasonCancelled, "the connection closed before the request could be started"))
+		return
+	}
 	e.balancer.recordRequest(rs.pool.Service)
 	http.NewResponseController(w).EnableFullDuplex()
 	rs.run(w, r)
