--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,13 +38,9 @@
 	// GuardsLimitRetries leaves it to the guards to limit retries; the entry then keeps no retry
 	// budget.
 	GuardsLimitRetries bool
-	// RunningCounts returns the number of attempts in progress at the backend servers of this
-	// node, and how many of them are repeats. If RunningCounts is nil, the entry treats no request
-	// as sent by a backend server of this node.
-	RunningCounts func() (all, repeats int)
-	// OnCallFailure, if not nil, is called when a request fails that a backend server of this node
-	// may have sent.
-	OnCallFailure func()
+	// LocalBackends are the backend servers of this node as senders of requests. If it is nil, the
+	// entry treats no request as sent by them.
+	LocalBackends LocalBackends
 	// RetryShare is the number of retries allowed for each request of a service; 0 means
 	// retry.DefaultShare.
 	RetryShare float64
@@ -72,6 +68,18 @@
 	AcknowledgeTimeout time.Duration
 }
 
+// LocalBackends are the backend servers of a node in so far as they send requests, while they
+// handle some.
+type LocalBackends interface {
+	// Running returns the work in progress at the backend servers.
+	Running() retry.Running
+	// CallStarted is called for each request that one of them may have sent.
+	CallStarted()
+	// CallFailed is called when such a request fails, with the reason, which is empty when it was
+	// answered with an error.
+	CallFailed(reason hop.Reason)
+}
+
 // Entry is the http.Handler of the traffic address.
 type Entry struct {
 	config           Config
@@ -205,13 +213,17 @@
 // classifyOrigin records a request for the route and returns its origin: whether a backend
 // server of this node may have sent it, and whether it counts as a repeat.
 func (e *Entry) classifyOrigin(route string) retry.Origin {
-	if e.config.RunningCounts == nil {
+	if e.config.LocalBackends == nil {
 		return retry.Origin{}
 	}
-	running, repeats := e.config.RunningCounts()
+	running := e.config.LocalBackends.Running()
 	e.originMu.Lock()
 	defer e.originMu.Unlock()
-	return e.originClassifier.Classify(route, running, repeats)
+	origin := e.originClassifier.Classify(route, running)
+	if origin.MayBeCall {
+		e.config.LocalBackends.CallStarted()
+	}
+	return origin
 }
 
 func checkRequest(r *http.Request, maxHeaderBytes int) *ErrorReply {
--- a/entry/requeststate.go
+++ b/entry/requeststate.go
@@ -101,8 +101,8 @@
 // fail the request that it is handling, and the report must precede that failure.
 func (rs *requestState) reportFailedCall(errReply *ErrorReply) {
 	failed := errReply != nil && (errReply.buffered == nil || errReply.buffered.status >= http.StatusInternalServerError)
-	if failed && rs.origin.MayBeCall && rs.entry.config.OnCallFailure != nil {
-		rs.entry.config.OnCallFailure()
+	if failed && rs.origin.MayBeCall {
+		rs.entry.config.LocalBackends.CallFailed(errReply.Reason)
 	}
 }
 
@@ -164,6 +164,8 @@
 		return hop.RepeatLimited
 	case rs.origin.Repeated:
 		return hop.RepeatCall
+	case rs.origin.MayBeCall:
+		return hop.RepeatFirstCall
 	}
 	return hop.RepeatNone
 }
--- a/guard/repeatbudget.go
+++ b/guard/repeatbudget.go
@@ -1,9 +1,9 @@
 package guard
 
 import (
+	"math"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jackdawlane/jackdawlane/hop"
@@ -32,41 +32,155 @@
 type repeatBudgets struct {
 	mu       sync.Mutex
 	limiters map[string]*retry.WindowLimiter
-	// running is the number of attempts in progress at the backend servers of this guard,
-	// runningRepeats the number of repeats among them.
-	running, runningRepeats atomic.Int32
+	running  runningAttempts
+	// callingRoutes are the routes whose work is known to make calls.
+	callingRoutes map[string]bool
+	// pausedUntil is the end of the pause that PauseRepeats started.
+	pausedUntil time.Duration
 }
 
-// RunningAttempts returns the number of attempts in progress at the backend servers of this guard,
-// and how many of them are repeats. Attempts marked hop.RepeatCall are not counted as
-// repeats here.
-func (g *Guard) RunningAttempts() (all, repeats int) {
-	return int(g.repeatBudgets.running.Load()), int(g.repeatBudgets.runningRepeats.Load())
+const (
+	// repeatPause is how long a guard takes no repeats after a call of one was refused.
+	repeatPause = time.Second
+	// maxCallingRoutes bounds the routes that are known to make calls.
+	maxCallingRoutes = 4096
+)
+
+// CallStarted records that a backend server of this guard may have made a call. If work of a
+// single route is running, that route makes calls.
+func (g *Guard) CallStarted() {
+	route, single := g.repeatBudgets.running.singleRoute()
+	if !single {
+		return
+	}
+	g.repeatBudgets.mu.Lock()
+	defer g.repeatBudgets.mu.Unlock()
+	if len(g.repeatBudgets.callingRoutes) >= maxCallingRoutes {
+		g.repeatBudgets.callingRoutes = nil
+	}
+	if g.repeatBudgets.callingRoutes == nil {
+		g.repeatBudgets.callingRoutes = make(map[string]bool)
+	}
+	g.repeatBudgets.callingRoutes[route] = true
+}
+
+// PauseRepeats makes the guard refuse repeats of the routes that make calls for repeatPause. It is
+// called when the budget of a called service had no room for a call of a repeat: further
+// repeats would fail in the same way, after they had begun.
+func (g *Guard) PauseRepeats() {
+	g.repeatBudgets.mu.Lock()
+	defer g.repeatBudgets.mu.Unlock()
+	g.repeatBudgets.pausedUntil = g.registry.clock() + repeatPause
+}
+
+// callReserve is the share by which the calls of repeats may exceed the budget. Refusing such
+// a call makes work fail that has begun.
+const callReserve = 0.1
+
+// idleTime is the time constant of the share of time without running attempts.
+const idleTime = 5 * time.Second
+
+// runningAttempts counts the attempts in progress at the backend servers of a guard.
+type runningAttempts struct {
+	mu           sync.Mutex
+	all, repeats int
+	// routes counts the attempts by route.
+	routes map[string]int
+	// idleShare is the decayed share of time in which none was in progress, as of updatedAt.
+	idleShare float64
+	updatedAt time.Duration
+}
+
+// update brings the idle share up to date.
+func (r *runningAttempts) update(now time.Duration) {
+	idle := 0.0
+	if r.all == 0 {
+		idle = 1
+	}
+	keep := math.Exp(-(now - r.updatedAt).Seconds() / idleTime.Seconds())
+	r.idleShare = idle + (r.idleShare-idle)*keep
+	r.updatedAt = now
+}
+
+// add adds n attempts of a route, of which so many are repeats.
+func (r *runningAttempts) add(now time.Duration, route string, n, repeats int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.update(now)
+	r.all += n
+	r.repeats += repeats
+	if r.routes == nil {
+		r.routes = make(map[string]int)
+	}
+	if r.routes[route] += n; r.routes[route] == 0 {
+		delete(r.routes, route)
+	}
+}
+
+// singleRoute returns the route of all attempts in progress, and false if there is none or
+// more than one.
+func (r *runningAttempts) singleRoute() (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for route := range r.routes {
+		return route, len(r.routes) == 1
+	}
+	return "", false
+}
+
+// Running returns the attempts in progress at the backend servers of this guard. Attempts
+// marked hop.RepeatCall are not counted as repeats here.
+func (g *Guard) Running() retry.Running {
+	r := &g.repeatBudgets.running
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.update(g.registry.clock())
+	return retry.Running{All: r.all, Repeats: r.repeats, IdleShare: r.idleShare}
 }
 
 // countRunning counts an attempt as running until ended is called.
 func (g *Guard) countRunning(req attemptRequest) (ended func()) {
-	repeats := int32(0)
+	repeats := 0
 	if req.repeat == hop.RepeatLimited || req.repeat == hop.RepeatGranted {
 		repeats = 1
 	}
-	g.repeatBudgets.running.Add(1)
-	g.repeatBudgets.runningRepeats.Add(repeats)
-	return func() {
-		g.repeatBudgets.running.Add(-1)
-		g.repeatBudgets.runningRepeats.Add(-repeats)
+	running := &g.repeatBudgets.running
+	running.add(g.registry.clock(), req.route, 1, repeats)
+	return func() { running.add(g.registry.clock(), req.route, -1, -repeats) }
+}
+
+// reserveFor returns the share by which the attempt may exceed the budget, and false when the
+// attempt does not draw on the budget here.
+func reserveFor(r hop.Repeat) (reserve float64, limited bool) {
+	switch r {
+	case hop.RepeatLimited:
+		return 0, true
+	case hop.RepeatCall:
+		return callReserve, true
 	}
+	return 0, false
 }
 
 // hasRepeatBudget reports whether the budget has room for an attempt. It takes nothing
 // from the budget, because the attempt may still be refused before it is dispatched.
 func (g *Guard) hasRepeatBudget(req attemptRequest) bool {
-	if g.config.RepeatBudget.Share == 0 || req.repeat != hop.RepeatLimited {
+	if g.config.RepeatBudget.Share == 0 {
 		return true
 	}
 	g.repeatBudgets.mu.Lock()
 	defer g.repeatBudgets.mu.Unlock()
-	return g.limiter(req.service).CanRepeat(g.registry.clock(), g.spareRepeats(req.service))
+	if g.repeatPaused(req) {
+		return false
+	}
+	reserve, limited := reserveFor(req.repeat)
+	return !limited || g.limiter(req.service).CanRepeat(g.registry.clock(), g.spareRepeats(req.service), reserve)
+}
+
+// repeatPaused reports whether the attempt is refused because of PauseRepeats. The caller holds
+// repeatBudgets.mu.
+func (g *Guard) repeatPaused(req attemptRequest) bool {
+	repeat := req.repeat == hop.RepeatLimited || req.repeat == hop.RepeatGranted
+	return repeat && g.repeatBudgets.callingRoutes[req.route] && g.registry.clock() < g.repeatBudgets.pausedUntil
 }
 
 // countDispatch counts an attempt that is about to be dispatched. An attempt that is
@@ -81,13 +195,11 @@
 	g.repeatBudgets.mu.Lock()
 	defer g.repeatBudgets.mu.Unlock()
 	now, limiter := g.registry.clock(), g.limiter(req.service)
-	switch req.repeat {
-	case hop.RepeatNone:
+	if req.repeat == hop.RepeatNone {
 		limiter.RecordFirst(now)
-	case hop.RepeatCall:
-		limiter.RecordRepeat(now)
-	case hop.RepeatLimited:
-		return limiter.TryRepeat(now, g.spareRepeats(req.service))
+	}
+	if reserve, limited := reserveFor(req.repeat); limited {
+		return limiter.TryRepeat(now, g.spareRepeats(req.service), reserve)
 	}
 	return true
 }
@@ -101,7 +213,7 @@
 	}
 	g.repeatBudgets.mu.Lock()
 	defer g.repeatBudgets.mu.Unlock()
-	if g.limiter(req.service).TryRepeat(g.registry.clock(), g.spareRepeats(req.service)) {
+	if g.limiter(req.service).TryRepeat(g.registry.clock(), g.spareRepeats(req.service), 0) {
 		h.Set(hop.HeaderGrant, "true")
 	}
 }
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -53,8 +53,12 @@
 type Repeat string
 
 const (
-	// RepeatNone marks the first attempt of a request.
+	// RepeatNone marks the first attempt of a caller's request, which adds to the budget.
 	RepeatNone Repeat = ""
+	// RepeatFirstCall marks the first attempt of a request that a backend server may have sent
+	// while it handles one. It neither adds to the budget nor draws on it: the budget follows
+	// the demand of callers, and calls grow with the work that is repeated.
+	RepeatFirstCall Repeat = "first-call"
 	// RepeatLimited marks an attempt of a request that may have reached a backend server
 	// before. The guard that receives it counts it, or refuses it if the budget has no
 	// room.
@@ -63,8 +67,8 @@
 	// already counted.
 	RepeatGranted Repeat = "granted"
 	// RepeatCall marks the first attempt of a request that counts as sent by a backend
-	// server while it handles a repeat. The attempt counts as a repeat, but is not refused
-	// when the repeat budget has no room.
+	// server while it handles a repeat. The attempt counts as a repeat. It may also draw on a
+	// reserve of the budget, because the work that sent it has begun.
 	RepeatCall Repeat = "call"
 )
 
--- a/retry/origin.go
+++ b/retry/origin.go
@@ -1,15 +1,16 @@
 package retry
 
 const (
-	// requestWeight is the weight of one request in a route's idle share, which thus
-	// covers about the last fifty requests.
-	requestWeight = 1.0 / 50
-	// minRequests is the number of requests of a route from which on its idle share is used.
-	minRequests = 10
-	// callerIdleShare is the idle share at or above which a route counts as used by callers.
-	// A call arrives while the local backend server serves no request only if the guard has
-	// just stopped waiting for the request that made the call.
-	callerIdleShare = 0.05
+	// requestWeight is the weight of one request in the counts of a route, which thus cover
+	// about the last two hundred requests.
+	requestWeight = 1.0 / 200
+	// minExpectedIdle is the number of idle arrivals that a route used by callers must have led
+	// to expect before its counts are used. On a busy node that takes many requests.
+	minExpectedIdle = 2.0
+	// callerIdleRatio is the ratio of idle arrivals to the expected ones at or above which a
+	// route counts as used by callers. A call arrives while the local backend server serves no
+	// request only if the guard has just stopped waiting for the request that made the call.
+	callerIdleRatio = 0.4
 	// maxRoutes bounds the number of routes that are kept. A request of a further route
 	// counts as a call of a repeated attempt only if all running requests are repeated attempts.
 	maxRoutes = 4096
@@ -29,17 +30,18 @@
 // server makes while it serves a request. It also counts the calls made while serving
 // repeated attempts. Callers and the backend server send to the same address, but a call
 // arrives only while the request that makes it is being served, so a route that is used
-// while no request is being served is used by callers. It is not safe for concurrent use.
+// while no request is being served is used by callers. Requests of callers arrive while the
+// node is idle as often as the node is idle. It is not safe for concurrent use.
 type OriginClassifier struct {
 	routes map[string]*record
 }
 
 type record struct {
-	// requests is the number of requests of the route so far.
-	requests int
-	// idleShare is the decayed share of requests that arrived while no request ran at the local
-	// backend server.
-	idleShare float64
+	// idle is the decayed number of requests that arrived while no request ran at the local
+	// backend server, and expectedIdle the number to expect of a route used by callers.
+	idle, expectedIdle float64
+	// usedByCallers is the last conclusion from these counts.
+	usedByCallers bool
 	// carry is the part of the expected number of calls of repeated attempts that has not
 	// been reported as Repeated yet.
 	carry float64
@@ -50,17 +52,24 @@
 	return &OriginClassifier{routes: make(map[string]*record)}
 }
 
-// Classify records a request of a route and returns its origin. Running is the number of
-// requests that run at the local backend server, and repeated is how many of those are
-// repeated attempts. A call is equally likely to come from any of them, so the number of calls
-// that count as repeated follows the expected number.
-func (o *OriginClassifier) Classify(route string, running, repeated int) Origin {
+// Running is the work in progress at the local backend server.
+type Running struct {
+	// All is the number of requests that run, Repeats the number of repeated attempts among them.
+	All, Repeats int
+	// IdleShare is the recent share of time in which no request ran.
+	IdleShare float64
+}
+
+// Classify records a request of a route and returns its origin. A call is equally likely to
+// come from any running request, so the number of calls that count as repeated follows the
+// expected number.
+func (o *OriginClassifier) Classify(route string, running Running) Origin {
 	r := o.get(route)
 	r.update(running)
-	if running == 0 || !r.mayBeCalls() {
+	if running.All == 0 || r.usedByCallers {
 		return Origin{}
 	}
-	r.carry += float64(repeated) / float64(running)
+	r.carry += float64(running.Repeats) / float64(running.All)
 	if r.carry < 1 {
 		return Origin{MayBeCall: true}
 	}
@@ -81,18 +90,16 @@
 	return r
 }
 
-// update updates the idle share with a request that arrived while running requests ran
-// at the local backend server.
-func (r *record) update(running int) {
-	r.requests++
-	idle := 0.0
-	if running == 0 {
-		idle = 1
+// update counts a request and concludes from the counts whether callers use the route. While
+// too few idle arrivals are expected, the last conclusion stays.
+func (r *record) update(running Running) {
+	r.idle *= 1 - requestWeight
+	r.expectedIdle *= 1 - requestWeight
+	r.expectedIdle += running.IdleShare
+	if running.All == 0 {
+		r.idle++
+	}
+	if r.expectedIdle >= minExpectedIdle {
+		r.usedByCallers = r.idle >= callerIdleRatio*r.expectedIdle
 	}
-	// The first requests have the same weight as in a plain mean.
-	r.idleShare += (idle - r.idleShare) * max(requestWeight, 1/float64(r.requests))
 }
-
-// mayBeCalls reports whether requests of the route may be calls: its idle share is low, or
-// rests on too few requests.
-func (r *record) mayBeCalls() bool { return r.requests < minRequests || r.idleShare < callerIdleShare }
--- a/retry/windowlimiter.go
+++ b/retry/windowlimiter.go
@@ -32,24 +32,21 @@
 func (w *WindowLimiter) RecordFirst(now time.Duration) { w.stepAt(now).first++ }
 
 // CanRepeat reports whether a repeat is within the limit, with spare repeats allowed
-// beyond the share.
-func (w *WindowLimiter) CanRepeat(now time.Duration, spare float64) bool {
+// beyond the share. Reserve is the share by which this repeat may exceed the limit.
+func (w *WindowLimiter) CanRepeat(now time.Duration, spare, reserve float64) bool {
 	first, repeats := w.sum(now)
-	return float64(repeats+1) <= w.share*float64(first)+spare
+	return float64(repeats+1) <= (1+reserve)*(w.share*float64(first)+spare)
 }
 
-// TryRepeat counts a repeat if it is within the limit, and reports whether it is.
-func (w *WindowLimiter) TryRepeat(now time.Duration, spare float64) bool {
-	if !w.CanRepeat(now, spare) {
+// TryRepeat counts a repeat if CanRepeat allows it, and reports whether it does.
+func (w *WindowLimiter) TryRepeat(now time.Duration, spare, reserve float64) bool {
+	if !w.CanRepeat(now, spare, reserve) {
 		return false
 	}
 	w.stepAt(now).repeats++
 	return true
 }
 
-// RecordRepeat counts a repeat that cannot be refused, even if it exceeds the limit.
-func (w *WindowLimiter) RecordRepeat(now time.Duration) { w.stepAt(now).repeats++ }
-
 // stepAt returns the counts of the step that contains now.
 func (w *WindowLimiter) stepAt(now time.Duration) *stepCount {
 	number := int64(now / w.step)
