--- a/entry/requeststate.go
+++ b/entry/requeststate.go
@@ -5,6 +5,8 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +68,8 @@
 	hedged bool
 	// crossRegionAttempts counts the attempts in other regions.
 	crossRegionAttempts int
+	// refusals counts the attempts that ended as not run, by reason.
+	refusals map[hop.Reason]int
 	// lastNode is the node whose backend server was tried last.
 	lastNode string
 	// delivering is set once an attempt begins to write a long answer to the caller, so that a
@@ -225,6 +229,9 @@
 	if f.final || ctx.Err() != nil || !rs.body.replayable() || !time.Now().Before(rs.deadline) {
 		return false
 	}
+	if f.Outcome == hop.OutcomeNotRun {
+		rs.countRefusal(f.Reason)
+	}
 	if f.Outcome != hop.OutcomeNotRun {
 		rs.possiblyRun++
 		rs.possiblyReceived++
@@ -241,6 +248,22 @@
 	return true
 }
 
+func (rs *requestState) countRefusal(r hop.Reason) {
+	if rs.refusals == nil {
+		rs.refusals = make(map[hop.Reason]int)
+	}
+	rs.refusals[r]++
+}
+
+// describeRefusals returns the refusals for the log, such as "full:3 suspect:1".
+func (rs *requestState) describeRefusals() string {
+	var parts []string
+	for _, r := range slices.Sorted(maps.Keys(rs.refusals)) {
+		parts = append(parts, string(r)+":"+strconv.Itoa(rs.refusals[r]))
+	}
+	return strings.Join(parts, " ")
+}
+
 // allowRetry takes a retry from the retry budget of the entry and reports whether there was
 // one. It always returns true when the guards limit retries.
 func (rs *requestState) allowRetry() bool {
@@ -266,6 +289,6 @@
 	}
 	logger.Info("request",
 		"id", rs.requestID, "route", rs.route.Name, "version", rs.version, "service", rs.pool.Service,
-		"server", rs.lastNode, "attempts", rs.attempts, "far", rs.crossRegionAttempts, "hedged", rs.hedged, "outcome", string(outcome), "reason", string(reason),
+		"server", rs.lastNode, "attempts", rs.attempts, "refusals", rs.describeRefusals(), "far", rs.crossRegionAttempts, "hedged", rs.hedged, "outcome", string(outcome), "reason", string(reason),
 		"status", rs.status, "ms", time.Since(rs.received).Milliseconds())
 }
