--- a/admission/queue.go
+++ b/admission/queue.go
@@ -53,6 +53,9 @@
 	Route        string
 	// Deadline is the time from which on the answer is useless.
 	Deadline time.Duration
+	// MaxWait is how long the request may wait here although other backend servers might serve it
+	// sooner. The queue may let it wait longer than that, but not shorter.
+	MaxWait time.Duration
 }
 
 // Decision is the immediate result of an offer.
@@ -160,21 +163,43 @@
 		return OfferResult{Reason: hop.ReasonTimeout}, actions
 	}
 	q.recordDemand(it)
-	if q.hasFreeSlot(it.class) && !q.hasQueued(it.class) {
+	result := q.decide(it)
+	switch result.Decision {
+	case Dispatched:
 		q.admit(it)
 		q.start(it)
-		return OfferResult{Decision: Dispatched}, actions
+	case Queued:
+		q.admit(it)
+		q.fair.push(it)
+	}
+	return result, actions
+}
+
+// Check returns the decision that an offer of the request would get now. A request that would be
+// refused counts as offered, because its caller need not offer it.
+func (q *Queue) Check(now time.Duration, r Request) OfferResult {
+	q.now = now
+	it := q.newItem(r)
+	result := q.decide(it)
+	if result.Decision == Refused {
+		q.recordDemand(it)
+	}
+	return result
+}
+
+// decide returns the decision on a new request.
+func (q *Queue) decide(it *item) OfferResult {
+	if q.hasFreeSlot(it.class) && !q.hasQueued(it.class) {
+		return OfferResult{Decision: Dispatched}
 	}
 	wait := q.wait(it.org, it.class, it.cost)
-	if now+wait > it.latestStart {
-		return OfferResult{Reason: hop.ReasonTimeout, Wait: wait}, actions
+	if q.now+wait > it.latestStart {
+		return OfferResult{Reason: hop.ReasonTimeout, Wait: wait}
 	}
 	if wait > it.maxWait {
-		return OfferResult{Reason: hop.ReasonFull, Wait: wait}, actions
+		return OfferResult{Reason: hop.ReasonFull, Wait: wait}
 	}
-	q.admit(it)
-	q.fair.push(it)
-	return OfferResult{Decision: Queued, Wait: wait}, actions
+	return OfferResult{Decision: Queued, Wait: wait}
 }
 
 // Done records the end of a dispatched request. Unknown IDs are ignored.
@@ -277,9 +302,9 @@
 		expected = underServedFactor + underServedTurns/float64(q.limiter.limit(q.now))
 		drop = expected
 	}
-	it.maxWait = clampWait(expected * it.cost)
+	it.maxWait = max(r.MaxWait, clampWait(expected*it.cost))
 	it.latestStart = r.Deadline - it.startMargin()
-	it.expires = min(it.latestStart, q.now+clampWait(drop*it.cost))
+	it.expires = min(it.latestStart, q.now+max(r.MaxWait, clampWait(drop*it.cost)))
 	return it
 }
 
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -395,3 +395,32 @@
 	}
 	assert.Assert(t, q.Load(now+time.Second).Limit >= lowered, "the limit fell again although less than half of the slots were in use")
 }
+
+// Guards against a request that could wait and is refused, against one that waits longer than it
+// may, and against a Check that tells something else than Offer does.
+func TestRequestWaitsAsLongAsItMay(t *testing.T) {
+	q := NewQueue(0, 1, membership.StateReady)
+	offer := func(now time.Duration, id string, maxWait time.Duration) OfferResult {
+		r := Request{ID: id, Route: "r", Deadline: time.Minute, MaxWait: maxWait}
+		checked := q.Check(now, r)
+		result, _ := q.Offer(now, r)
+		assert.Equal(t, checked, result, id)
+		return result
+	}
+	for i := range 20 {
+		now := time.Duration(i) * time.Second
+		assert.Equal(t, offer(now, fmt.Sprint("warm", i), 0).Decision, Dispatched)
+		q.Done(now+200*ms, fmt.Sprint("warm", i), 200*ms, Answered)
+	}
+	now := 30 * time.Second
+	assert.Equal(t, offer(now, "running", 0).Decision, Dispatched)
+	assert.Equal(t, offer(now, "first", 0).Decision, Queued)
+	refused := offer(now, "impatient", 0)
+	assert.Equal(t, refused.Decision, Refused)
+	assert.Assert(t, refused.Wait > 200*ms)
+	assert.Equal(t, offer(now, "patient", refused.Wait).Decision, Queued)
+	actions := q.Advance(now + refused.Wait)
+	assert.DeepEqual(t, actions.Drop, []Drop{{ID: "first", Reason: hop.ReasonFull}})
+	actions = q.Advance(now + refused.Wait + 1)
+	assert.DeepEqual(t, actions.Drop, []Drop{{ID: "patient", Reason: hop.ReasonFull}})
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -43,6 +43,9 @@
 	HasLoad bool
 	// Reason is the reason of a refusal. It is empty when the attempt was not refused.
 	Reason hop.Reason
+	// Again is the time for which another attempt would wait for a slot, or would not be taken as
+	// a re-test; 0 if that is not known. It is valid with a refusal.
+	Again time.Duration
 	// Suspect is set when the guard suspects the backend server, so that requests should go to
 	// other backend servers.
 	Suspect bool
@@ -60,6 +63,8 @@
 	suspectUntil       time.Duration // end of the time during which it counts as suspect
 	failureProbability float64       // last reported probability that it fails a request, valid if suspectUntil is not 0
 	absentUntil        time.Duration // end of the time during which it counts as absent
+	freeAt             time.Duration // when it is expected to have a slot for another attempt
+	retestAt           time.Duration // when it may take another re-test
 	lastUsed           time.Duration
 	// sentSinceReport is the number of attempts since the last report.
 	sentSinceReport int
@@ -114,10 +119,16 @@
 
 func (l *loads) report(now time.Duration, b *backendState, f Feedback) {
 	load, ok := f.Load, f.HasLoad && f.Load >= 0
+	if f.Reason == hop.ReasonFull || f.Reason == hop.ReasonTimeout {
+		b.freeAt = now + f.Again
+	}
 	switch {
 	case f.Suspect:
 		b.suspectUntil = now + suspectTime
 		b.failureProbability = f.FailureProbability
+		if f.Reason == hop.ReasonSuspect {
+			b.retestAt = now + f.Again
+		}
 	case f.Reason == hop.ReasonNoBackend || f.Reason == hop.ReasonLeaving || f.Reason == hop.ReasonStopping:
 		b.absentUntil = now + absentTime
 	case f.Reason == hop.ReasonFull && (!ok || load < 1):
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -30,7 +30,7 @@
 	// maxWaitableFailureProbability is the highest probability of failing at which a suspected
 	// backend server gets a request that can wait. Above it, such a request waits. A request
 	// that cannot wait has no such bound.
-	maxWaitableFailureProbability = 0.5
+	maxWaitableFailureProbability = 0.3
 	// maxCrossRegionAttempts is the largest number of attempts of one request in other regions.
 	maxCrossRegionAttempts = 2
 )
@@ -81,6 +81,9 @@
 	// backend server declined: another region would most likely decline it too, after
 	// traffic over a link that is billed.
 	SameRegionOnly bool
+	// QueueWait is how long the attempt may wait for a slot at the backend server. Backend servers
+	// that are known to have no slot until then are left out. If it is negative, none is left out.
+	QueueWait time.Duration
 	// CanWait says that the request can wait for a recovery, so that Pick chooses no backend
 	// server when no ready or starting one is left and all suspected ones are likely to fail.
 	CanWait bool
@@ -220,8 +223,11 @@
 		return tierUnreachable
 	case tried:
 		return tierRefused
-	case backend.Suspect, known != nil && now < known.suspectUntil && !a.Retest:
+	case backend.Suspect, known != nil && now < known.suspectUntil && !(a.Retest && now >= known.retestAt):
 		return tierSuspect
+	case a.QueueWait >= 0 && known != nil && known.freeAt-now > a.QueueWait:
+		// It would refuse the attempt.
+		return unusable
 	case backend.State != membership.StateReady:
 		return tierStarting
 	}
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -178,11 +178,45 @@
 	assert.Assert(t, ok && choice.Force)
 	assert.Equal(t, choice.Backend.ID, "s@2")
 	p.End(0, "s@1", Feedback{Suspect: true, FailureProbability: 0.4})
+	_, ok = p.Pick(0, r, all, Attempt{CanWait: true})
+	assert.Assert(t, !ok, "a request that can wait must not take a risk of 40 %%")
+	p.End(0, "s@1", Feedback{Suspect: true, FailureProbability: 0.2})
 	choice, ok = p.Pick(0, r, all, Attempt{CanWait: true})
 	assert.Assert(t, ok && choice.Force)
 	assert.Equal(t, choice.Backend.ID, "s@1")
 }
 
+// Guards against attempts at guards that are known to have no slot in time: each of them is
+// refused, and many such attempts load the links and the guards in an overload.
+func TestBusyBackendsAreLeftOut(t *testing.T) {
+	all := []membership.Backend{newBackend(1, "r1", "r1a"), newBackend(2, "r1", "r1b")}
+	p, r := newPicker(0), rng()
+	p.End(0, "s@1", Feedback{Reason: hop.ReasonFull, Again: 400 * time.Millisecond})
+	p.End(0, "s@2", Feedback{Reason: hop.ReasonTimeout, Again: 700 * time.Millisecond})
+	_, ok := p.Pick(0, r, all, Attempt{QueueWait: 300 * time.Millisecond})
+	assert.Assert(t, !ok, "an attempt was sent to a guard that has no slot in time")
+	c, ok := p.Pick(150*time.Millisecond, r, all, Attempt{QueueWait: 300 * time.Millisecond})
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Backend.ID, "s@1")
+	_, ok = p.Pick(0, r, all[1:], Attempt{QueueWait: -1})
+	assert.Assert(t, ok, "an attempt with a negative QueueWait must leave out none")
+}
+
+// Guards against re-tests that the guard refuses because the next one is not due yet.
+func TestRetestWaitsUntilDue(t *testing.T) {
+	all := []membership.Backend{newBackend(1, "r1", "r1a"), newBackend(2, "r1", "r1b")}
+	p, r := newPicker(0), rng()
+	p.End(0, "s@1", Feedback{Reason: hop.ReasonSuspect, Suspect: true, FailureProbability: 0.9, Again: 500 * time.Millisecond})
+	for range 20 {
+		c, ok := p.Pick(400*time.Millisecond, r, all, Attempt{Retest: true})
+		assert.Assert(t, ok)
+		assert.Equal(t, c.Backend.ID, "s@2")
+		p.End(400*time.Millisecond, c.Backend.ID, Feedback{})
+	}
+	c, ok := p.Pick(500*time.Millisecond, r, all[:1], Attempt{Retest: true})
+	assert.Assert(t, ok && !c.Force, "the re-test is due and must be left to the guard")
+}
+
 // Guards against a new backend server that gets no requests: its load is taken to be the
 // average, while reports that are seconds old still make the others seem less loaded.
 func TestNewBackendGetsItsShare(t *testing.T) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -143,6 +143,9 @@
 	if force {
 		h.Set(hop.HeaderForce, "true")
 	}
+	if wait := ra.queueWait(); wait > 0 {
+		h.Set(hop.HeaderWaitMS, strconv.FormatInt(wait.Milliseconds(), 10))
+	}
 	if repeat := ra.repeatKind(); repeat != hop.RepeatNone {
 		h.Set(hop.HeaderRepeat, string(repeat))
 	}
@@ -166,6 +169,7 @@
 	ra.feedback.backend.Reason = reason
 	ra.feedback.backend.Suspect = res.Header.Get(hop.HeaderHealth) == hop.HealthSuspect
 	ra.feedback.backend.FailureProbability = parseFailureProbability(res.Header.Get(hop.HeaderFailing))
+	ra.feedback.backend.Again = parseAgain(res.Header.Get(hop.HeaderAgainMS))
 	if load, _, err := admission.ParseLoad(res.Header.Get(hop.HeaderLoad)); err == nil {
 		ra.feedback.backend.Load, ra.feedback.backend.HasLoad = load, true
 	}
@@ -192,6 +196,15 @@
 	return float64(n) / 1000
 }
 
+// parseAgain parses a time in milliseconds. Without a valid value it returns 0.
+func parseAgain(text string) time.Duration {
+	n, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
 // handleAnswer delivers the answer, or returns it buffered if it is short and the entry
 // buffers answers. A buffered server error (status 500 or above) on an idempotent route
 // is not final, so another attempt may replace it.
--- a/entry/http_test.go
+++ b/entry/http_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -245,6 +246,7 @@
 func (m *fixedMonitor) FailureProbability(string) float64      { return 1 }
 func (m *fixedMonitor) AnnouncedHealth(id string) guard.Health { return m.Health(id) }
 func (m *fixedMonitor) AdmitRetest(string, bool) bool          { return false }
+func (m *fixedMonitor) RetestIn(string) time.Duration          { return 0 }
 
 // Guards against refusing a request because all backend servers are suspected, and against
 // losing the body of a request that the first guard refuses. Ejected backend servers must
--- a/entry/requeststate.go
+++ b/entry/requeststate.go
@@ -118,7 +118,7 @@
 	for rs.hasAttemptsLeft() {
 		attempt.Retest, attempt.CrossRegionAttempts = rs.mayRetest(), rs.crossRegionAttempts
 		attempt.SameRegionOnly = rs.declined
-		attempt.CanWait = rs.mayWait()
+		attempt.CanWait, attempt.QueueWait = rs.mayWait(), rs.queueWait()
 		choice, ok := balance.Choice{}, false
 		if rs.roundAttempts < maxRoundAttempts || !rs.entry.config.WaitForCapacity {
 			choice, ok = rs.choose(rs.attempts+1, rs.entry.candidates(rs.pool), attempt)
@@ -213,8 +213,28 @@
 
 // mayWait reports whether the request has time for one more pause.
 func (rs *requestState) mayWait() bool {
+	return rs.waitLeft() >= capacityPause
+}
+
+// waitLeft returns how long the request may still wait for capacity.
+func (rs *requestState) waitLeft() time.Duration {
+	if !rs.entry.config.WaitForCapacity {
+		return 0
+	}
 	p := retry.WaitPolicy{Target: rs.route.TargetLatency(), Timeout: rs.deadline.Sub(rs.received)}
-	return rs.entry.config.WaitForCapacity && time.Since(rs.received)+capacityPause <= p.MaxWait(rs.possiblyRun > 0)
+	return p.MaxWait(rs.possiblyRun > 0) - time.Since(rs.received)
+}
+
+// queueShare is the share of the time left for waiting that a request may spend in the queue of
+// one guard. With the rest it can go to another one, if the backend server turns slow or fails.
+const queueShare = 0.5
+
+// queueWait returns how long the next attempt may wait at its guard.
+func (rs *requestState) queueWait() time.Duration {
+	if !rs.entry.config.WaitForCapacity {
+		return -1
+	}
+	return max(0, time.Duration(queueShare*float64(rs.waitLeft())))
 }
 
 // backendMayHaveReceived reports whether an attempt that ended for the reason may have reached
--- a/guard/attemptrequest.go
+++ b/guard/attemptrequest.go
@@ -35,6 +35,10 @@
 	// guardTime is the reading of the guard's clock in the attempt ID.
 	guardTime hop.GuardTime
 	deadline  time.Time
+	// maxWait is how long the attempt may wait for a free slot; 0 leaves that to the queue.
+	maxWait time.Duration
+	// again is the value of hop.HeaderAgainMS in the reply; 0 means that none is known.
+	again time.Duration
 	// retest is set when the attempt was admitted as a re-test of a suspected or ejected
 	// backend server.
 	retest bool
@@ -61,6 +65,13 @@
 		return req, errors.Wrap(ErrBadHopHeader, hop.HeaderTimeoutMS)
 	}
 	req.deadline = now.Add(time.Duration(timeout) * time.Millisecond)
+	if text := h.Get(hop.HeaderWaitMS); text != "" {
+		wait, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || wait < 0 || wait > maxTimeoutMS {
+			return req, errors.Wrap(ErrBadHopHeader, hop.HeaderWaitMS)
+		}
+		req.maxWait = time.Duration(wait) * time.Millisecond
+	}
 	return req, nil
 }
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -136,7 +136,8 @@
 		return
 	}
 	defer g.attempts.end(req.id)
-	if _, reason := g.availableServer(&req); reason != "" {
+	s, reason := g.availableServer(&req)
+	if reason != "" {
 		// The attempt is refused before its body is requested and before full duplex is
 		// enabled, which would leave an unread body on the connection.
 		g.refuse(w, req, reason)
@@ -146,6 +147,11 @@
 		g.refuse(w, req, hop.ReasonRetryBudget)
 		return
 	}
+	if reason := s.queue.check(&req); reason != "" {
+		// The same holds for an attempt that finds no room.
+		g.refuse(w, req, reason)
+		return
+	}
 	http.NewResponseController(w).EnableFullDuplex()
 	g.serve(ctx, cancel, w, r, req)
 }
@@ -172,7 +178,7 @@
 	queueCtx, cancelQueue := context.WithCancel(ctx)
 	defer cancelQueue()
 	stopQueue := context.AfterFunc(r.Context(), cancelQueue)
-	s, reason := g.admit(queueCtx, req)
+	s, reason := g.admit(queueCtx, &req)
 	if reason != "" {
 		g.refuse(w, req, reason)
 		return
@@ -221,8 +227,8 @@
 
 // admit waits for admission and returns the backend server if the attempt may be
 // dispatched to it now, or the reason why not.
-func (g *Guard) admit(ctx context.Context, req attemptRequest) (server, hop.Reason) {
-	s, reason := g.availableServer(&req)
+func (g *Guard) admit(ctx context.Context, req *attemptRequest) (server, hop.Reason) {
+	s, reason := g.availableServer(req)
 	if reason != "" {
 		return s, reason
 	}
@@ -231,7 +237,7 @@
 		return s, reason
 	}
 	// The backend server may have left or become suspect while the attempt was queued.
-	s, reason = g.availableServer(&req)
+	s, reason = g.availableServer(req)
 	if reason != "" {
 		q.done(req.id, 0, admission.Cancelled)
 	}
@@ -268,6 +274,7 @@
 	if state == Ejected {
 		return hop.ReasonEjected
 	}
+	req.again = g.config.HealthMonitor.RetestIn(req.backendID)
 	return hop.ReasonSuspect
 }
 
@@ -295,6 +302,9 @@
 func (g *Guard) writeFailure(w http.ResponseWriter, req attemptRequest, status int, o hop.Outcome, reason hop.Reason) {
 	g.setHopHeaders(w.Header(), req, o)
 	w.Header().Set(hop.HeaderReason, string(reason))
+	if req.again > 0 {
+		w.Header().Set(hop.HeaderAgainMS, strconv.FormatInt(req.again.Milliseconds(), 10))
+	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -260,3 +262,35 @@
 		assert.Equal(t, g.checkHealth(req), c.want, "second check: %+v", c)
 	}
 }
+
+// Guards against a body that crosses the link although the guard has no room for the attempt, and
+// against a refusal that does not say when there may be room.
+func TestFullGuardRefusesBeforeTheBody(t *testing.T) {
+	f := newFixture(t)
+	defer close(f.proceed)
+	// The first takes the only slot, and the second fills the queue.
+	go f.do(f.newID())
+	f.until("the slot is in use", func() bool { return f.runs.Load() == 1 })
+	go f.do(f.newID())
+	f.until("an attempt is queued", func() bool { return f.load() == 2 })
+	req := f.request(t.Context(), f.newID())
+	req.Body, req.ContentLength = io.NopCloser(neverRead{t}), 4
+	req.Header.Set("Expect", "100-continue")
+	transport := &http.Transport{ExpectContinueTimeout: time.Minute}
+	defer transport.CloseIdleConnections()
+	res, err := transport.RoundTrip(req)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	assert.Equal(t, hop.Reason(res.Header.Get(hop.HeaderReason)), hop.ReasonFull)
+	again, err := strconv.Atoi(res.Header.Get(hop.HeaderAgainMS))
+	assert.NilError(t, err)
+	assert.Assert(t, again > 0)
+}
+
+// neverRead is a request body that must not be read.
+type neverRead struct{ t *testing.T }
+
+func (n neverRead) Read([]byte) (int, error) {
+	n.t.Error("the body of an attempt without room was requested")
+	return 0, io.EOF
+}
--- a/guard/healthmonitor.go
+++ b/guard/healthmonitor.go
@@ -1,8 +1,10 @@
 package guard
 
-import "github.com/jackdawlane/jackdawlane/hop"
+import (
+	"time"
 
-import "time"
+	"github.com/jackdawlane/jackdawlane/hop"
+)
 
 // Health is the assessed health of a backend server.
 type Health string
@@ -56,6 +58,8 @@
 	// AdmitRetest reports whether an attempt goes to a suspected or ejected backend
 	// server to re-test it. It counts the attempts that it admits.
 	AdmitRetest(backendID string, idempotent bool) bool
+	// RetestIn returns the time until AdmitRetest may admit an attempt again; 0 if that is not known.
+	RetestIn(backendID string) time.Duration
 }
 
 // alwaysHealthy regards every backend server as healthy.
@@ -69,3 +73,5 @@
 func (alwaysHealthy) AnnouncedHealth(string) Health { return Healthy }
 
 func (alwaysHealthy) AdmitRetest(string, bool) bool { return false }
+
+func (alwaysHealthy) RetestIn(string) time.Duration { return 0 }
--- a/guard/queue.go
+++ b/guard/queue.go
@@ -47,11 +47,13 @@
 }
 
 // admit waits until the attempt may be dispatched or is refused, or until ctx ends. An
-// empty reason means that the attempt is admitted; the caller must then call done.
-func (q *queue) admit(ctx context.Context, req attemptRequest) hop.Reason {
-	decision, reason := q.offer(req)
+// empty reason means that the attempt is admitted; the caller must then call done. For an attempt
+// that is refused at once, admit sets req.again.
+func (q *queue) admit(ctx context.Context, req *attemptRequest) hop.Reason {
+	decision, result := q.offer(*req)
 	if decision == nil {
-		return reason
+		req.again = result.Wait
+		return result.Reason
 	}
 	select {
 	case reason := <-decision:
@@ -70,25 +72,40 @@
 }
 
 // offer offers an attempt for admission. If the attempt is queued, offer returns a
-// channel that delivers the decision. Otherwise the channel is nil and the reason is
-// that of the immediate decision.
-func (q *queue) offer(req attemptRequest) (chan hop.Reason, hop.Reason) {
+// channel that delivers the decision. Otherwise the channel is nil and the result is the
+// immediate decision.
+func (q *queue) offer(req attemptRequest) (chan hop.Reason, admission.OfferResult) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	result, actions := q.admission.Offer(q.clock(), admission.Request{
-		ID:           req.id,
-		Organisation: req.organisation,
-		// Route names are unique only within an organisation.
-		Route:    req.organisation + "/" + req.route,
-		Deadline: q.clock.fromTime(req.deadline),
-	})
+	result, actions := q.admission.Offer(q.clock(), q.request(req))
 	var decision chan hop.Reason
 	if result.Decision == admission.Queued {
 		decision = make(chan hop.Reason, 1)
 		q.waiting[req.id] = decision
 	}
 	q.apply(actions)
-	return decision, result.Reason
+	return decision, result
+}
+
+// check returns the reason for which offer would refuse the attempt now, and sets req.again; the
+// reason is empty when it would not.
+func (q *queue) check(req *attemptRequest) hop.Reason {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	result := q.admission.Check(q.clock(), q.request(*req))
+	req.again = result.Wait
+	return result.Reason
+}
+
+func (q *queue) request(req attemptRequest) admission.Request {
+	return admission.Request{
+		ID:           req.id,
+		Organisation: req.organisation,
+		// Route names are unique only within an organisation.
+		Route:    req.organisation + "/" + req.route,
+		Deadline: q.clock.fromTime(req.deadline),
+		MaxWait:  req.maxWait,
+	}
 }
 
 // cancel removes an attempt from the queue. It returns false when the decision on the
--- a/guard/queue_test.go
+++ b/guard/queue_test.go
@@ -13,8 +13,8 @@
 	"github.com/jackdawlane/jackdawlane/membership"
 )
 
-func testAttemptRequest(n int) attemptRequest {
-	return attemptRequest{id: fmt.Sprint(n), organisation: "o", route: "r", deadline: time.Now().Add(time.Hour)}
+func testAttemptRequest(n int) *attemptRequest {
+	return &attemptRequest{id: fmt.Sprint(n), organisation: "o", route: "r", deadline: time.Now().Add(time.Hour)}
 }
 
 // Guards against waking waiters out of order, against an unbounded queue, and against
@@ -27,7 +27,7 @@
 	}
 	var decisions []chan hop.Reason
 	for i := range slots {
-		decision, _ := q.offer(testAttemptRequest(slots + i))
+		decision, _ := q.offer(*testAttemptRequest(slots + i))
 		assert.Assert(t, decision != nil)
 		decisions = append(decisions, decision)
 	}
@@ -53,7 +53,7 @@
 	assert.Equal(t, q.admit(t.Context(), testAttemptRequest(1)), hop.ReasonFull)
 	q = newQueue(stoppedClock, 1, membership.StateReady, false)
 	assert.Equal(t, q.admit(t.Context(), testAttemptRequest(0)), hop.Reason(""))
-	decision, _ := q.offer(testAttemptRequest(1))
+	decision, _ := q.offer(*testAttemptRequest(1))
 	q.announce(1, membership.StateLeaving)
 	assert.Equal(t, <-decision, hop.ReasonLeaving)
 }
--- a/health/failureestimator.go
+++ b/health/failureestimator.go
@@ -77,13 +77,12 @@
 	return f.failed && now-f.failedAt < suspicionTimeout && f.FailureProbability(now) > suspectProbability
 }
 
-// RetestDue reports whether the next request that may be repeated should re-test a suspected
-// backend server. sinceLast is the time since the last re-test was sent.
-func (f *FailureEstimator) RetestDue(sinceLast time.Duration) bool {
+// RetestGap returns the time from one re-test of a suspected backend server to the next.
+func (f *FailureEstimator) RetestGap() time.Duration {
 	if f.lastSucceeded {
-		return sinceLast >= passedRetestGap
+		return passedRetestGap
 	}
-	return sinceLast >= failedRetestGap
+	return failedRetestGap
 }
 
 // Observe updates the estimate with the result of a request that ended at now.
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -21,6 +21,8 @@
 	HeaderIdempotent    = "Jackdawlane-Idempotent"
 	HeaderTimeoutMS     = "Jackdawlane-Timeout-Ms"
 	HeaderForce         = "Jackdawlane-Force"
+	// HeaderWaitMS is how long the attempt may wait at the guard for a free slot, in milliseconds.
+	HeaderWaitMS = "Jackdawlane-Wait-Ms"
 	// HeaderRetest marks a request with which the guard may test a suspected backend server.
 	HeaderRetest = "Jackdawlane-Retest"
 	// HeaderRepeat holds a Repeat value.
@@ -40,6 +42,10 @@
 	HeaderHealth    = "Jackdawlane-Health"
 	// HeaderFailing is the probability that the backend server is failing, in thousandths.
 	HeaderFailing = "Jackdawlane-Failing"
+	// HeaderAgainMS states with a refusal for how many milliseconds another attempt would be
+	// refused too, or would have to wait: until a slot is expected to be free, or until the next
+	// re-test of a suspected backend server is due.
+	HeaderAgainMS = "Jackdawlane-Again-Ms"
 	// HeaderGrant is "true" when the guard has charged the next attempt of the request to its
 	// own part of the repeat budget, so that the next guard does not charge it again.
 	HeaderGrant = "Jackdawlane-Grant"
--- a/observe/localmonitor.go
+++ b/observe/localmonitor.go
@@ -103,9 +103,18 @@
 	defer m.mu.Unlock()
 	now := m.clock()
 	b := m.estimate(id, now)
-	if !idempotent || !b.estimator.RetestDue(now-b.retested) {
+	if !idempotent || now-b.retested < b.estimator.RetestGap() {
 		return false
 	}
 	b.retested = now
 	return true
 }
+
+// RetestIn implements guard.HealthMonitor.
+func (m *LocalMonitor) RetestIn(id string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock()
+	b := m.estimate(id, now)
+	return max(0, b.retested+b.estimator.RetestGap()-now)
+}
--- a/observe/states.go
+++ b/observe/states.go
@@ -58,6 +58,9 @@
 	return ok && s.retests.admit(m.config.Clock(), idempotent)
 }
 
+// RetestIn implements guard.HealthMonitor. Re-tests are admitted at random times.
+func (m *Monitor) RetestIn(string) time.Duration { return 0 }
+
 // retests limits the re-tests of one backend server.
 type retests struct {
 	mu   sync.Mutex
