--- a/watch/watch.go
+++ b/watch/watch.go
@@ -48,8 +48,9 @@
 type Options struct {
 	// Wait is the longest time that one call of Source.Watch waits for changes.
 	Wait time.Duration
-	// Gap is the pause after each successful call, so that changes close together arrive in one batch.
-	Gap time.Duration
+	// Gap returns the pause after a successful call, so that changes close together arrive in one
+	// batch. Nil means no pause.
+	Gap func() time.Duration
 	// Timeout bounds a call, in addition to the wait of a watch.
 	Timeout time.Duration
 	// MinBackoff and MaxBackoff bound the pause after a failed call.
@@ -82,7 +83,9 @@
 		if batch.Full || len(batch.Objects) > 0 {
 			apply(batch)
 		}
-		sleep(ctx, o.Gap)
+		if o.Gap != nil {
+			sleep(ctx, o.Gap())
+		}
 	}
 }
 
