--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -19,10 +19,19 @@
 // ErrNoResponse marks a request without a response.
 var ErrNoResponse = errors.New("no response")
 
+// errTooManyInformational means that a server sent informational responses without end.
+var errTooManyInformational = errors.New("too many informational responses")
+
 const (
 	// DialTimeout bounds the time to open a connection when nothing is known about the path.
 	DialTimeout = 2 * time.Second
 	idleTimeout = 90 * time.Second
+	// maxHeadBytes bounds the head of a response. A faulty server may send bytes without end, and
+	// http.Transport would hold 10 MB of them for each request.
+	maxHeadBytes = 128 << 10
+	// maxInformational bounds the informational responses to one request. http.Transport leaves
+	// that to the receiver of these responses.
+	maxInformational = 16
 )
 
 // conn counts the writes that were started on a connection.
@@ -71,10 +80,11 @@
 			}
 			return &conn{Conn: c}, nil
 		},
-		DisableCompression:  true,
-		MaxConnsPerHost:     maxConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
+		DisableCompression:     true,
+		MaxConnsPerHost:        maxConns,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		IdleConnTimeout:        idleTimeout,
 	}
 }
 
@@ -115,9 +125,13 @@
 // of its body was or can be sent.
 func Do(t http.RoundTripper, req *http.Request, on1xx func(int, textproto.MIMEHeader)) (res *http.Response, sent bool, err error) {
 	tr := &tracker{}
+	informational := 0
 	trace := &httptrace.ClientTrace{
 		GotConn: tr.gotConn,
 		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
+			if informational++; informational > maxInformational {
+				return errTooManyInformational
+			}
 			on1xx(code, header)
 			return nil
 		},
