--- a/watch/watch.go
+++ b/watch/watch.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -53,6 +54,8 @@
 	Gap func() time.Duration
 	// Timeout bounds a call, in addition to the wait of a watch.
 	Timeout time.Duration
+	// Doubt connects the followers of one store. It may be nil.
+	Doubt *Doubt
 	// MinBackoff and MaxBackoff bound the pause after a failed call.
 	MinBackoff, MaxBackoff time.Duration
 }
@@ -71,6 +74,9 @@
 		if err != nil {
 			if lostAt.IsZero() {
 				lostAt = time.Now()
+				if isTimeout(err) {
+					o.Doubt.raise()
+				}
 				logger.Warn("store lost", "kind", name, "err", err.Error())
 			}
 			sleep(ctx, f.nextBackoff())
@@ -131,7 +137,27 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Timeout)
 	defer cancel()
-	return f.source.Watch(ctx, f.revision, f.options.Wait)
+	doubted := f.options.Doubt.next()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-doubted:
+			cancel()
+		case <-ended:
+		}
+	}()
+	batch, err := f.source.Watch(ctx, f.revision, f.options.Wait)
+	if errors.Is(ctx.Err(), context.Canceled) && err != nil {
+		err = errors.CombineErrors(errDoubted, err)
+	}
+	return batch, err
+}
+
+// isTimeout reports whether a call failed because there was no response in time.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // nextBackoff returns the time to wait after a failed call. It is random, so that the nodes
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -83,3 +83,80 @@
 	assert.DeepEqual(t, s.calls, []string{"list", "list", "watch 3", "watch 4", "watch 4", "list", "watch 5", "list", "watch 8"})
 	assert.DeepEqual(t, applied, []string{"a", "b", "c"})
 }
+
+// silentStore is a store that can go silent: calls that are made then, or wait at that time, get
+// no response, also after it serves again.
+type silentStore struct {
+	mu     sync.Mutex
+	silent bool
+	value  string
+	// gone is closed when the store goes silent.
+	gone chan struct{}
+}
+
+func (s *silentStore) set(silent bool, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if silent && !s.silent {
+		close(s.gone)
+	}
+	if !silent && s.silent {
+		s.gone = make(chan struct{})
+	}
+	s.silent, s.value = silent, value
+}
+
+func (s *silentStore) state() (silent bool, value string, gone chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent, s.value, s.gone
+}
+
+func (s *silentStore) List(ctx context.Context) (Batch, error) {
+	silent, value, _ := s.state()
+	if silent {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	return Batch{Full: true, Revision: 1, Objects: []Object{{Name: value}}}, nil
+}
+
+func (s *silentStore) Watch(ctx context.Context, _ uint64, wait time.Duration) (Batch, error) {
+	silent, _, gone := s.state()
+	if !silent {
+		select {
+		case <-time.After(wait):
+			return Batch{Revision: 1}, nil
+		case <-gone:
+		}
+	}
+	<-ctx.Done()
+	return Batch{}, ctx.Err()
+}
+
+// Guards against a change that stays unknown for the wait of a watch, because the store was silent
+// for a moment and the watch is dead.
+func TestSilentStoreIsNoticedByTheShortWatch(t *testing.T) {
+	s := &silentStore{value: "old", gone: make(chan struct{})}
+	seen := make(chan string, 100)
+	long := Options{Wait: time.Minute, Timeout: 20 * time.Millisecond, MinBackoff: time.Millisecond, MaxBackoff: 5 * time.Millisecond, Doubt: NewDoubt()}
+	short := long
+	short.Wait = 50 * time.Millisecond
+	logger := log.New(io.Discard)
+	go Follow(t.Context(), "long", s, long, logger, func(b Batch) { seen <- b.Objects[0].Name })
+	go Follow(t.Context(), "short", s, short, logger, func(Batch) {})
+	assert.Equal(t, <-seen, "old")
+	s.set(true, "old")
+	time.Sleep(100 * time.Millisecond)
+	s.set(false, "new")
+	for {
+		select {
+		case name := <-seen:
+			if name == "new" {
+				return
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("the change is not known 5 s after the store serves again")
+		}
+	}
+}
