--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -77,9 +77,13 @@
 			if result.panicked != nil {
 				panic(result.panicked)
 			}
-			if result.errReply.succeeded() {
+			if result.errReply.succeeded() && rs.claimDelivery(result.errReply) {
 				return result.errReply
 			}
+			if result.errReply.succeeded() {
+				// The other attempt is relaying a long answer to the caller.
+				continue
+			}
 			last = preferredFailure(last, result.errReply)
 		}
 	}
@@ -90,6 +94,13 @@
 	return last
 }
 
+// claimDelivery reports whether the result of one of two parallel attempts may be used. A buffered
+// answer may not once the other attempt has begun to deliver its answer, which then may not begin
+// any more if this one is used.
+func (rs *requestState) claimDelivery(result *ErrorReply) bool {
+	return result == nil || rs.delivering.CompareAndSwap(false, true)
+}
+
 // preferredFailure returns which of two failed attempts of a request to report. The answer of a
 // backend server takes precedence over an unknown outcome, and the outcome not-run is returned
 // only if both attempts ended with it.
--- a/entry/scripted_test.go
+++ b/entry/scripted_test.go
@@ -284,3 +284,37 @@
 	}
 	assert.Equal(t, asked.Load(), int32(size), "within absentTime (1 s, package balance) each guard without a backend server must receive one attempt")
 }
+
+// Guards against a reply that is mixed from two answers: while the entry relays the long answer of
+// one attempt, the short answer of the parallel attempt arrives.
+func TestParallelAnswersAreNotMixed(t *testing.T) {
+	const long = 600 << 10
+	part := strings.Repeat("x", long/2)
+	relayed := make(chan struct{})
+	var attempts atomic.Int32
+	url := newEntryForHandler(t, 2, 0, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(hop.StatusAcknowledged)
+		if attempts.Add(1) > 1 {
+			<-relayed
+			serveAttempt(w)
+			return
+		}
+		w.Header().Set(hop.HeaderOutcome, string(hop.OutcomeAnswer))
+		// Longer than the delay after which the second attempt starts.
+		time.Sleep(1200 * time.Millisecond)
+		io.WriteString(w, part)
+		http.NewResponseController(w).Flush()
+		// The entry has begun to relay the answer by then.
+		time.Sleep(300 * time.Millisecond)
+		close(relayed)
+		time.Sleep(300 * time.Millisecond)
+		io.WriteString(w, part)
+	})
+	res, err := client.Get(url + "/")
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, attempts.Load(), int32(2))
+	assert.Assert(t, string(body) == part+part, "the caller got %d bytes, and the answer has %d", len(body), long)
+}
