--- a/cli/inspect.go
+++ b/cli/inspect.go
@@ -29,7 +29,7 @@
 	return &cobra.Command{
 		Use:   "status [nodes|backends]",
 		Short: "Show the nodes, with the version that each has in force, or the backend servers that one node knows",
-		Args:  cobra.MaximumNArgs(1),
+		Args:  statusArguments,
 		RunE: func(c *cobra.Command, args []string) error {
 			status, err := a.nodeStatus(c.Context())
 			if err != nil {
@@ -43,6 +43,14 @@
 	}
 }
 
+// statusArguments checks the arguments of the command status.
+func statusArguments(_ *cobra.Command, args []string) error {
+	if len(args) > 1 || len(args) == 1 && args[0] != "nodes" && args[0] != "backends" {
+		return errors.Wrapf(ErrUsage, "status %s: must be nodes or backends", strings.Join(args, " "))
+	}
+	return nil
+}
+
 func (a *app) printBackends(status *pb.StatusResponse) error {
 	var rows [][]string
 	var all []*pb.BackendServer
--- a/cli/root.go
+++ b/cli/root.go
@@ -130,6 +130,7 @@
 		a.routeCommand(), a.poolCommand(), a.organisationCommand(),
 		a.applyCommand(), a.diffCommand(), a.historyCommand(), a.revertCommand(), a.gcCommand(),
 		a.explainCommand(), a.statusCommand(), a.checkCommand(), a.hashCommand(), a.versionCommand(build),
+		a.traceCommand(),
 	)
 	return root
 }
