--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,8 +38,8 @@
 	// GuardsLimitRetries leaves it to the guards to limit retries; the entry then keeps no retry
 	// budget.
 	GuardsLimitRetries bool
-	// LocalBackends are the backend servers of this node as senders of requests. If it is nil, the
-	// entry treats no request as sent by them.
+	// LocalBackends are the backend servers of this node. If it is nil, the entry treats no request
+	// as one that they have sent.
 	LocalBackends LocalBackends
 	// RetryShare is the number of retries allowed for each request of a service; 0 means
 	// retry.DefaultShare.
@@ -68,8 +68,8 @@
 	AcknowledgeTimeout time.Duration
 }
 
-// LocalBackends are the backend servers of a node in so far as they send requests, while they
-// handle some.
+// LocalBackends are the backend servers of a node, which send requests of their own, calls, while
+// they handle others.
 type LocalBackends interface {
 	// Running returns the work in progress at the backend servers.
 	Running() retry.Running
