--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -261,9 +260,8 @@
 		return
 	}
 	c.net.SetReadDeadline(time.Now().Add(lingerTime))
-	if _, err := io.Copy(io.Discard, c.net); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		return
-	}
+	// The connection is closed whether the client closed it, reset it or took too long.
+	_, _ = io.Copy(io.Discard, c.net)
 }
 
 // turnKey is the context key of the exchange of a request.
