--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
-exec "$root/target/review/review" -case rolled-while-leaving -root "$root" -record "$PWD/record.txt"
+exec "$root/target/review/review" -case rolled-while-waiting -root "$root" -record "$PWD/record.txt"
