--- a/review/src/backend.go
+++ b/review/src/backend.go
@@ -57,6 +57,11 @@
 	// earlyAfter is called with a request that has a long body. It returns how many bytes of the body
 	// the backend reads before it rejects the request, or 0 to read all of it.
 	earlyAfter func(r *http.Request) int64
+	// fails is called with each request; the backend runs it and answers 500 if it returns true.
+	fails func(r *http.Request) bool
+	// extra is called after each complete answer; if it returns true, the backend also sends a 503
+	// that belongs to no request, at the point where the next answer on the connection is expected.
+	extra func() bool
 }
 
 func newBackend(n *node, all *runs, id string) (*backend, error) {
@@ -136,6 +141,7 @@
 	defer c.Close()
 	defer b.conns.Delete(c)
 	reader := bufio.NewReader(c)
+	extra := false
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -166,8 +172,19 @@
 		}
 		b.runs.add(run{at: time.Now(), backend: b.id, id: id, method: r.Method, uri: r.RequestURI, caller: r.Header.Get("Caller-Service"), bodyBytes: n})
 		b.node.cluster.rec.line("backend %s (%s) runs request %s: %s %s, %d bytes of body, Caller-Service %s", b.id, b.node.service, id, r.Method, r.RequestURI, n, r.Header.Get("Caller-Service"))
+		if extra {
+			time.Sleep(10 * time.Millisecond)
+			b.node.cluster.rec.line("backend %s sends a 503 that belongs to no request, while it runs request %s", b.id, id)
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		}
 		time.Sleep(b.work)
+		if b.fails != nil && b.fails(r) {
+			b.node.cluster.rec.line("backend %s answers request %s with 500", b.id, id)
+			b.answer(c, http.StatusInternalServerError, id, "Server-Signature: sig."+b.id+"."+id+"\r\nInstance-Load: 0,0,"+strconv.Itoa(b.capacity)+"\r\n", "failed\n")
+			continue
+		}
 		b.answer(c, http.StatusOK, id, "Server-Signature: sig."+b.id+"."+id+"\r\nInstance-Load: 0,0,"+strconv.Itoa(b.capacity)+"\r\n", "done "+id+"\n")
+		extra = b.extra != nil && b.extra()
 	}
 }
 
--- a/review/src/kit.go
+++ b/review/src/kit.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -68,14 +70,23 @@
 	os.RemoveAll(c.dir)
 }
 
-// freeAddress returns a free loopback address.
+// reserved holds the addresses that freeAddress has returned.
+var reserved sync.Map
+
+// freeAddress returns a free loopback address. Its port is below those that the operating system gives
+// to outgoing connections.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := "127.0.0.1:" + strconv.Itoa(10240+rand.IntN(22000))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		if _, taken := reserved.LoadOrStore(address, true); !taken {
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // node is one process of the system with the addresses of its machine.
--- a/review/src/main.go
+++ b/review/src/main.go
@@ -21,6 +21,9 @@
 var cases = map[string]func(*cluster) (verdict, error){
 	"early-rejection":      earlyRejection,
 	"rolled-while-leaving": rolledWhileLeaving,
+	"rolled-while-waiting": rolledWhileWaiting,
+	"second-answer":        secondAnswer,
+	"silent-store":         silentStore,
 }
 
 func main() {
--- a/review/src/store.go
+++ b/review/src/store.go
@@ -38,29 +38,26 @@
 	objects  map[string]object
 	history  []object
 	changed  chan struct{}
-	// silent is closed when an outage begins; nil while there is none.
+	// silentNow is set during an outage.
 	silentNow bool
-	outage    chan struct{}
 }
 
 func newStore() (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: l.Addr().String(), revision: 500, objects: make(map[string]object), changed: make(chan struct{}), outage: make(chan struct{})}
+	s := &store{address: l.Addr().String(), revision: 500, objects: make(map[string]object), changed: make(chan struct{})}
 	go func() { _ = http.Serve(l, s) }()
 	return s, nil
 }
 
-// silence begins an outage in which the store does not answer. Calls that wait then lose their
-// answers, and a connection on which an answer is lost returns nothing further.
+// silence begins an outage in which the store does not answer. A call that arrives during it never gets
+// an answer, and its connection returns nothing further. Watches that wait go on afterwards.
 func (s *store) silence() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silentNow = true
-	close(s.outage)
-	s.outage = make(chan struct{})
 }
 
 func (s *store) resume() {
@@ -110,7 +107,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
-	silent, outage := s.silentNow, s.outage
+	silent := s.silentNow
 	s.mu.Unlock()
 	if silent {
 		<-r.Context().Done()
@@ -119,7 +116,7 @@
 	time.Sleep(4 * time.Millisecond)
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	if r.Method == http.MethodGet {
-		s.read(w, r, kind, name, outage)
+		s.read(w, r, kind, name)
 		return
 	}
 	var sent struct {
@@ -155,11 +152,11 @@
 }
 
 // read serves one object, the objects of a kind, or the changes after a revision.
-func (s *store) read(w http.ResponseWriter, r *http.Request, kind, name string, outage chan struct{}) {
+func (s *store) read(w http.ResponseWriter, r *http.Request, kind, name string) {
 	query := r.URL.Query()
 	if after, err := strconv.ParseUint(query.Get("watch"), 10, 64); err == nil && name == "" {
 		wait, _ := strconv.Atoi(query.Get("wait_ms"))
-		s.watch(w, r, kind, after, time.Duration(wait)*time.Millisecond, outage)
+		s.watch(w, r, kind, after, time.Duration(wait)*time.Millisecond)
 		return
 	}
 	s.mu.Lock()
@@ -187,7 +184,7 @@
 	reply(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "as_of": s.revision})
 }
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, after uint64, wait time.Duration, outage chan struct{}) {
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, after uint64, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for ended := false; ; {
@@ -208,10 +205,6 @@
 		case <-changed:
 		case <-timer.C:
 			ended = true
-		case <-outage:
-			// The answer is lost, and the connection returns nothing further.
-			<-r.Context().Done()
-			return
 		case <-r.Context().Done():
 			return
 		}
