platform: logs and metrics tell how far the watches have come

- objects read: each list, and each watch that brought changes, with the revision it continued from and the one it reached;
- store lost: which call failed, from which revision and after how long;

No logic changes.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -56,17 +56,20 @@
 	Timeout time.Duration
 	// Doubt connects the followers of one store. It may be nil.
 	Doubt *Doubt
+	// Progress, if not nil, is kept up to date by Follow.
+	Progress *Progress
 	// MinBackoff and MaxBackoff bound the pause after a failed call.
 	MinBackoff, MaxBackoff time.Duration
 }
 
-// Follow passes the batches of a source to apply until ctx ends. It logs the first of several
-// failed calls in a row and the next call that succeeds. The name is the kind of the objects,
-// for the log.
+// Follow passes the batches of a source to apply until ctx ends. It logs each batch, the first of
+// several failed calls in a row and the next call that succeeds. The name is the kind of the
+// objects, for the log.
 func Follow(ctx context.Context, name string, source Source, o Options, logger *log.Logger, apply func(Batch)) {
 	f := follower{source: source, options: o}
 	var lostAt time.Time
 	for ctx.Err() == nil {
+		started, from, call := time.Now(), f.revision, f.nextCall()
 		batch, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -77,7 +80,7 @@
 				if isTimeout(err) {
 					o.Doubt.raise()
 				}
-				logger.Warn("store lost", "kind", name, "err", err.Error())
+				logger.Warn("store lost", "kind", name, "call", call, "from", from, "after_ms", time.Since(started).Milliseconds(), "err", err.Error())
 			}
 			sleep(ctx, f.nextBackoff())
 			continue
@@ -87,6 +90,8 @@
 			lostAt = time.Time{}
 		}
 		if batch.Full || len(batch.Objects) > 0 {
+			logger.Info("objects read", "kind", name, "call", call, "from", from, "revision", batch.Revision,
+				"objects", len(batch.Objects), "after_ms", time.Since(started).Milliseconds())
 			apply(batch)
 		}
 		if o.Gap != nil {
@@ -106,18 +111,29 @@
 	backoff  time.Duration
 }
 
+// nextCall names the call that step makes next, for the log.
+func (f *follower) nextCall() string {
+	if f.listed {
+		return "watch"
+	}
+	return "list"
+}
+
 // step makes one call to the source and updates the revision. When the history is gone, it
 // returns an empty batch and no error, and the next call is a list.
 func (f *follower) step(ctx context.Context) (Batch, error) {
+	started := time.Now()
 	batch, err := f.call(ctx)
 	switch {
 	case errors.Is(err, ErrHistoryGone):
+		f.options.Progress.update(func(s *ProgressState) { s.HistoryGone++ })
 		f.listed = false
 		return Batch{Revision: f.revision}, nil
 	case err != nil:
 		// A watch that starts while the store drops history may miss earlier changes without
 		// an error. The revision is therefore valid only as long as every call succeeds, and
 		// after a failed call the objects are listed again.
+		f.options.Progress.update(func(s *ProgressState) { s.Failures++ })
 		f.listed = false
 		return Batch{}, err
 	}
@@ -125,6 +141,7 @@
 	if !f.listed || batch.Revision >= f.revision {
 		f.revision = batch.Revision
 	}
+	f.options.Progress.confirm(started, !f.listed, f.revision)
 	f.listed = true
 	return batch, nil
 }
