--- a/settings/settings.go
+++ b/settings/settings.go
@@ -141,13 +141,17 @@
 
 // Load reads and checks a settings file. If the file is invalid, it returns ErrInvalid with a
 // one-line message that names the file and, for an invalid value, the section, the key and the
-// allowed values.
-func Load(path string) (Settings, error) {
+// allowed values. Overrides replace values of the file, or add to it; each has the form
+// section.key=value.
+func Load(path string, overrides ...string) (Settings, error) {
 	options := ini.LoadOptions{AllowNonUniqueSections: false, SkipUnrecognizableLines: false}
 	file, err := ini.LoadSources(options, path)
 	if err != nil {
 		return Settings{}, errors.Mark(errors.Wrapf(err, "%s", path), ErrInvalid)
 	}
+	if err := override(file, overrides); err != nil {
+		return Settings{}, err
+	}
 	var s Settings
 	fields := s.fields()
 	if err := rejectUnknownKeys(path, file, fields); err != nil {
@@ -162,6 +166,19 @@
 	return s, s.checkCombinations(path)
 }
 
+// override sets the values that the overrides name.
+func override(file *ini.File, overrides []string) error {
+	for _, text := range overrides {
+		name, value, hasValue := strings.Cut(text, "=")
+		section, key, hasKey := strings.Cut(name, ".")
+		if !hasValue || !hasKey {
+			return errors.Wrapf(ErrInvalid, "override %q: want section.key=value", text)
+		}
+		file.Section(section).Key(key).SetValue(value)
+	}
+	return nil
+}
+
 // setDefaults fills the fields whose default is another field.
 func (s *Settings) setDefaults() {
 	if !s.Node.HopAdvertise.IsValid() {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -72,3 +73,17 @@
 		_, _ = load(t, text)
 	})
 }
+
+// Guards against an override that is ignored, or that is not checked like a value of the file.
+func TestOverridesReplaceValues(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.ini")
+	assert.NilError(t, os.WriteFile(path, []byte(valid), 0o600))
+	s, err := settings.Load(path, "configuration.max_age=4s", "store.timeout=1s")
+	assert.NilError(t, err)
+	assert.Equal(t, s.Configuration.MaxAge, 4*time.Second)
+	assert.Equal(t, s.Store.Timeout, time.Second)
+	for _, bad := range []string{"configuration.max_age", "max_age=4s", "configuration.max_age=soon", "configuration.maximum=4s"} {
+		_, err := settings.Load(path, bad)
+		assert.ErrorIs(t, err, settings.ErrInvalid, bad)
+	}
+}
