linger: nothing behind an unread body is read as a request

What callers saw: after an answer that was given before a long body had been read (a backend server's early 503, the entry's own 404, 413 or 503, a 504 at the deadline), the node took the rest of the body for further requests of the connection. Requests in a client's file ran, and each later request of the client got the answer of another one, a 400, or a reset connection; net/http panicked with "invalid concurrent Body.Read call". The hop had the same fault.

Cause: entry and guard enable full duplex, and then net/http neither reads nor refuses what a handler leaves of a body. The entry also replaces the body, so that net/http does not notice that it was left. Where net/http does refuse a rest, it closes the connection half a second later without reading, and the reset can reach the client before the answer.

Fix: package linger, in front of both roles. It knows for each request whether its body was read to its end. If not, it reads a rest of up to 256 KB that arrives within 0.2 s and keeps the connection; otherwise, and always after full duplex, the answer announces "Connection: close", the connection gives the server no further byte, and is closed only after a lingering close: sending direction ended, reading until the client closes too, for 1 s of silence, 10 s or 64 MB at most. It depends neither on the handler nor on how a body was left, so it holds for paths that are added later. Connections that linger count as in flight, so that a planned stop does not cut off the answer. pipeline uses the same close in place of its own.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -139,7 +139,7 @@
 	s, reason := g.availableServer(&req)
 	if reason != "" {
 		// The attempt is refused before its body is requested and before full duplex is
-		// enabled, which would leave an unread body on the connection.
+		// enabled, so that the server reads a short body itself and keeps the connection.
 		g.refuse(w, req, reason)
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawlane/jackdawlane/entry"
 	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
 	"github.com/jackdawlane/jackdawlane/guard"
+	"github.com/jackdawlane/jackdawlane/linger"
 	"github.com/jackdawlane/jackdawlane/membership"
 	"github.com/jackdawlane/jackdawlane/objectstore"
 	"github.com/jackdawlane/jackdawlane/observe"
@@ -165,7 +166,7 @@
 
 // server is one HTTP server and its listener.
 type server struct {
-	*http.Server
+	*linger.Server
 	listener net.Listener
 }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawlane/jackdawlane/control"
 	"github.com/jackdawlane/jackdawlane/guard"
 	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/linger"
 )
 
 // readHeaderTimeout bounds the time in which a client must send its request headers.
@@ -53,7 +54,7 @@
 			all.close()
 			return nil, errors.Mark(err, ErrListen)
 		}
-		all = append(all, server{Server: part.server, listener: listener})
+		all = append(all, server{Server: linger.NewServer(part.server, nil), listener: listener})
 	}
 	return all, nil
 }
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jackdawlane/jackdawlane/linger"
 )
 
 const (
@@ -19,9 +21,6 @@
 	// maxPipelined is the number of requests of one connection that are worked on at the same
 	// time. Further ones stay unread until an earlier one is answered.
 	maxPipelined = 32
-	// lingerTime is how long a connection stays open for reading after its last response.
-	// Closing it with unread bytes would reset it, and a reset can overtake the response.
-	lingerTime = 500 * time.Millisecond
 )
 
 // errHandOver means that the next request of the connection is one for net/http.
@@ -84,7 +83,7 @@
 		c.server.handOver.put(&handedOver{Conn: c.net, reader: c.reader})
 		return
 	}
-	c.linger()
+	linger.Close(c.net)
 }
 
 // readRequests starts an exchange for each simple request. It returns errHandOver at a
@@ -252,18 +251,6 @@
 	}
 }
 
-// linger ends the sending direction and closes the connection once the client has seen that.
-func (c *conn) linger() {
-	defer c.net.Close()
-	half, ok := c.net.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	c.net.SetReadDeadline(time.Now().Add(lingerTime))
-	// The connection is closed whether the client closed it, reset it or took too long.
-	_, _ = io.Copy(io.Discard, c.net)
-}
-
 // turnKey is the context key of the exchange of a request.
 type turnKey struct{}
 
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -13,10 +13,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+
+	"github.com/jackdawlane/jackdawlane/linger"
 )
 
 // pollInterval is the interval at which Shutdown looks for connections that are still open.
@@ -25,7 +28,7 @@
 // Server is an HTTP server that works on pipelined requests at the same time.
 type Server struct {
 	// http serves the connections that were handed over.
-	http     *http.Server
+	http     *linger.Server
 	handOver *handOverListener
 	logger   *log.Logger
 	mu       sync.Mutex
@@ -35,9 +38,10 @@
 }
 
 // NewServer returns a server that uses the handler and the limits of s, and s itself for the
-// connections that are handed over.
-func NewServer(s *http.Server, logger *log.Logger) *Server {
-	return &Server{http: s, handOver: newHandOverListener(), logger: logger, conns: make(map[*conn]struct{})}
+// connections that are handed over. Those of them that linger after an answer to an unread body
+// count in inFlight, which may be nil.
+func NewServer(s *http.Server, inFlight *atomic.Int64, logger *log.Logger) *Server {
+	return &Server{http: linger.NewServer(s, inFlight), handOver: newHandOverListener(), logger: logger, conns: make(map[*conn]struct{})}
 }
 
 // Serve accepts connections until the server is shut down or closed; it then returns
--- a/pipeline/server_test.go
+++ b/pipeline/server_test.go
@@ -23,7 +23,7 @@
 func start(t testing.TB, h http.HandlerFunc) (*Server, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := NewServer(&http.Server{Handler: h, ReadHeaderTimeout: time.Second}, log.New(io.Discard))
+	s := NewServer(&http.Server{Handler: h, ReadHeaderTimeout: time.Second}, nil, log.New(io.Discard))
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
 	return s, l.Addr().String()
