entry: parallel attempts share the status of the reply safely

The race detector reports a race of status: an attempt writes it when it relays a long answer, while attemptHedged copies the state of the request for the second attempt. The second attempt also wrote it to its copy, so that by reading the log line of a request states status 0 when that attempt relays the answer.

Fix: both attempts share one atomic status, as they share delivering.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -29,7 +29,7 @@
 
 // deliverBuffered sends a buffered answer to the caller.
 func (rs *requestState) deliverBuffered(w http.ResponseWriter, a *bufferedAnswer) {
-	rs.status = a.status
+	rs.status.Store(int64(a.status))
 	rw := exchange.NewResponseWriter(w)
 	rs.writeHeader(rw, a.status, a.header, a.trailer)
 	if _, err := w.Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -236,7 +236,7 @@
 // none.
 func (ra *requestAttempt) deliver(rw *exchange.ResponseWriter, res *http.Response) {
 	streamed := res.ContentLength < 0
-	ra.status = res.StatusCode
+	ra.status.Store(int64(res.StatusCode))
 	ra.writeHeader(rw, res.StatusCode, res.Header, res.Trailer)
 	if streamed {
 		rw.Flush()
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -158,7 +158,7 @@
 // deliverRetained sends the caller an answer that a guard retained.
 func (ra *requestAttempt) deliverRetained(a *attempt.Answer) {
 	rw := exchange.NewResponseWriter(ra.w)
-	ra.status = a.Status
+	ra.status.Store(int64(a.Status))
 	ra.writeHeader(rw, a.Status, a.Header.Clone(), a.Trailer)
 	ra.w.Write(a.Body)
 	rw.WriteTrailer(a.Trailer)
--- a/entry/requeststate.go
+++ b/entry/requeststate.go
@@ -75,8 +75,8 @@
 	// delivering is set once an attempt begins to write a long answer to the caller, so that a
 	// parallel attempt does not.
 	delivering *atomic.Bool
-	// status is the status code of the reply to the caller.
-	status int
+	// status is the status code of the reply to the caller. Parallel attempts share it.
+	status *atomic.Int64
 }
 
 // run makes attempts until the caller has a reply.
@@ -292,7 +292,7 @@
 
 // writeError sends the caller a reply that the entry itself gives.
 func (rs *requestState) writeError(w http.ResponseWriter, f *ErrorReply) {
-	rs.status = f.Status
+	rs.status.Store(int64(f.Status))
 	rs.entry.config.Protocol.WriteError(w, f)
 	rs.log(f)
 }
@@ -310,5 +310,5 @@
 	logger.Info("request",
 		"id", rs.requestID, "route", rs.route.Name, "version", rs.version, "service", rs.pool.Service,
 		"server", rs.lastNode, "attempts", rs.attempts, "refusals", rs.describeRefusals(), "far", rs.crossRegionAttempts, "hedged", rs.hedged, "outcome", string(outcome), "reason", string(reason),
-		"status", rs.status, "ms", time.Since(rs.received).Milliseconds())
+		"status", rs.status.Load(), "ms", time.Since(rs.received).Milliseconds())
 }
