linger: the test of bounded lingering tells a close by the server from its own timeout

A write that failed at the deadline of the test's client counted as a close by the server, so the test could pass on a server that reads without bound. go test -race -count=10 ./linger passes, also three times with GOMAXPROCS=1.

--- a/linger/unreadbody_test.go
+++ b/linger/unreadbody_test.go
@@ -9,12 +9,14 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -301,6 +303,7 @@
 		_, err = sending.Write(part)
 	}
 	assert.Assert(t, err != nil, "the server read %d bytes", sent)
+	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the server holds the connection")
 	for begin := time.Now(); f.inFlight.Load() > 0; time.Sleep(10 * time.Millisecond) {
 		assert.Assert(t, time.Since(begin) < 2*maxIdle, "a connection still lingers")
 	}
