--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -55,6 +55,7 @@
 	case Mismatched:
 		// The connection is closed because it may hold more data that belongs to no request.
 		exchange.Discard(res)
+		g.logMismatch(req, s, res)
 		g.dispatchFailed(ctx, w, req, s, true, timing)
 		return
 	}
@@ -114,6 +115,17 @@
 		"ms", time.Since(timing.start).Milliseconds())
 }
 
+// logMismatch logs a response that does not answer the request, with the ID of the request that it
+// belongs to, if it has one.
+func (g *Guard) logMismatch(req attemptRequest, s server, res *http.Response) {
+	if g.config.Logger == nil {
+		return
+	}
+	g.config.Logger.Warn("response does not answer the request",
+		"id", req.requestID, "instance", s.instance, "service", req.service,
+		"status", res.StatusCode, "response_id", g.config.Protocol.RequestID(res.Header))
+}
+
 // setBackendHeaders replaces the headers between entry and guard by those that the
 // backend server expects.
 func (g *Guard) setBackendHeaders(out *http.Request, req attemptRequest, s server) {
