entry: copy the state of a hedged request before its first attempt starts

The second of two parallel attempts copied the request state while the first one wrote the status of the answer that it delivers to it. Callers saw nothing of it, but the race detector reported it in TestParallelAnswersAreNotMixed as soon as the timing of connections changed (the review saw it too). The copy is now made before the first attempt starts.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -55,6 +55,9 @@
 			result.errReply = rs.attempt(w, r, c, a.Bytes)
 		}()
 	}
+	// Copied before the first attempt starts, because that one changes rs when it delivers its answer.
+	secondState := *rs
+	secondState.possiblyReceived++
 	launch(rs, c)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -67,8 +70,6 @@
 				continue
 			}
 			running++
-			secondState := *rs
-			secondState.possiblyReceived++
 			launch(&secondState, secondChoice)
 			rs.attempts++
 			rs.hedged = true
