exchange: send a request only on a silent connection whose last response was accepted

A response that a backend server, or a guard, writes once more could be taken for the answer to the next request on the connection, although it had arrived before that request was sent. And a request that went out on a connection whose last response was then found to be unusable was lost with it: 502 for work that need not have been sent.

http.Transport hands a connection to the next request as soon as the body has ended, for an empty body before the caller sees the response, and closes it for surplus bytes only if no request has taken it by then. The connection now lets the first write of a request wait until the response before it was read from, closed or discarded. The write fails, with nothing sent, when the connection was discarded, was closed by the peer or holds bytes. Reads from the socket and starts of writes are ordered by a lock, so that a response whose first byte came before the request is recognised, also from the buffer of the transport.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"os"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // ErrNoResponse marks a request without a response.
@@ -22,6 +24,9 @@
 // errTooManyInformational means that a server sent informational responses without end.
 var errTooManyInformational = errors.New("too many informational responses")
 
+// errUnsolicited means that a response had begun before its request was sent.
+var errUnsolicited = errors.New("response began before the request was sent")
+
 const (
 	// DialTimeout bounds the time to open a connection when nothing is known about the path.
 	DialTimeout = 2 * time.Second
@@ -34,21 +39,111 @@
 	maxInformational = 16
 )
 
-// conn counts the writes that were started on a connection.
+// conn counts the writes that were started on a connection, and sends a request only after the
+// response before it was accepted and while no other bytes have arrived.
 type conn struct {
 	net.Conn
-	writes        atomic.Int64
-	writesStopped atomic.Bool
+	raw syscall.RawConn
+	// mu orders reads from the socket and starts of writes, so that writesAtRead is exact.
+	mu            sync.Mutex
+	writes        int64
+	writesStopped bool
+	// writesAtRead is the number of writes that had been started when a Read last returned data.
+	writesAtRead int64
+	// accepted is closed when the response to the current request is accepted or discarded.
+	accepted chan struct{}
+	// previous is accepted of the request before; it is nil once the current request may be sent.
+	previous chan struct{}
+}
+
+func newConn(c net.Conn) (*conn, error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("%T is no socket", c)
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, raw: raw}, nil
 }
 
+// begin prepares the connection for its next request. It returns the number of writes so far and
+// the function that accepts the response to the request.
+func (c *conn) begin() (writes int64, accept func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.previous = c.accepted
+	if c.previous == nil {
+		c.previous = make(chan struct{})
+		close(c.previous)
+	}
+	accepted := make(chan struct{})
+	c.accepted = accepted
+	return c.writes, sync.OnceFunc(func() { close(accepted) })
+}
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	var n int
+	var failed error
+	err := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n, failed = receive(int(fd), p)
+		if n > 0 {
+			c.writesAtRead = c.writes
+		}
+		return failed != unix.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failed != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", failed)}
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// Write implements io.Writer. The first write of a request fails, without sending anything, when
+// bytes have arrived before it: they belong to no request.
 func (c *conn) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	if c.writesStopped.Load() {
+	c.mu.Lock()
+	previous := c.previous
+	c.previous = nil
+	c.mu.Unlock()
+	if previous != nil {
+		<-previous
+	}
+	if !c.startWrite(previous != nil) {
+		c.Close()
 		return 0, net.ErrClosed
 	}
 	return c.Conn.Write(p)
 }
 
+// startWrite counts a write and reports whether it may be made.
+func (c *conn) startWrite(first bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writesStopped || first && !silent(c.raw) {
+		c.writesStopped = true
+		return false
+	}
+	c.writes++
+	return true
+}
+
+// readBefore reports whether the last Read that returned data did so before any write that
+// followed the given number of writes.
+func (c *conn) readBefore(writes int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writesAtRead <= writes
+}
+
 // ReadFrom copies r through a pooled buffer and counts each write. Without this method
 // net/http copies request bodies, even empty ones, through a new buffer of 32 KB; these
 // buffers were 73 % of the memory that a node allocated.
@@ -62,9 +157,13 @@
 // started. Every write that this number does not include fails with net.ErrClosed and
 // sends nothing.
 func (c *conn) stopWrites() int64 {
-	c.writesStopped.Store(true)
+	c.mu.Lock()
+	c.writesStopped = true
+	writes := c.writes
+	c.mu.Unlock()
+	// Close waits for a Read in progress, which needs the lock.
 	c.Close()
-	return c.writes.Load()
+	return writes
 }
 
 // NewTransport returns an HTTP/1.1 transport for use with Do.
@@ -78,7 +177,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return newConn(c)
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        maxConns,
@@ -94,6 +193,10 @@
 	conn         *conn
 	writesBefore int64
 	mayHaveSent  bool
+	// accept is nil while the request has no connection.
+	accept func()
+	// unsolicited is set when the response began before the request was sent.
+	unsolicited bool
 }
 
 func (t *tracker) gotConn(info httptrace.GotConnInfo) {
@@ -105,7 +208,33 @@
 		return
 	}
 	t.conn = c
-	t.writesBefore = c.writes.Load()
+	t.writesBefore, t.accept = c.begin()
+}
+
+// gotFirstResponseByte records whether the response began before the request was sent. The
+// transport reads from the connection only while its buffer is empty, so the first byte came with
+// the last Read.
+func (t *tracker) gotFirstResponseByte() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		t.unsolicited = t.conn.readBefore(t.writesBefore)
+	}
+}
+
+func (t *tracker) isUnsolicited() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unsolicited
+}
+
+// acceptResponse lets the connection carry the next request.
+func (t *tracker) acceptResponse() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.accept != nil {
+		t.accept()
+	}
 }
 
 // stopWrites prevents further writes and reports whether any byte of the request may
@@ -116,10 +245,13 @@
 	if t.conn == nil {
 		return t.mayHaveSent
 	}
+	defer t.accept()
 	return t.conn.stopWrites() > t.writesBefore || t.mayHaveSent
 }
 
 // Do sends req, which must come from NewRequest. on1xx receives informational responses.
+// The next request on its connection is sent after the body of the response was read from or
+// closed. A response that began before the request was sent belongs to no request.
 // An error is marked ErrNoResponse; sent is then false only when the receiver cannot act
 // on the request: no byte of it was or can be sent, or it has an Expect header and none
 // of its body was or can be sent.
@@ -127,7 +259,8 @@
 	tr := &tracker{}
 	informational := 0
 	trace := &httptrace.ClientTrace{
-		GotConn: tr.gotConn,
+		GotConn:              tr.gotConn,
+		GotFirstResponseByte: tr.gotFirstResponseByte,
 		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
 			if informational++; informational > maxInformational {
 				return errTooManyInformational
@@ -137,10 +270,14 @@
 		},
 	}
 	res, err = t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err == nil {
+	if err == nil && !tr.isUnsolicited() {
 		res.Body = &responseBody{ReadCloser: res.Body, tracker: tr}
 		return res, true, nil
 	}
+	if err == nil {
+		defer res.Body.Close()
+		err = errUnsolicited
+	}
 	sent = tr.stopWrites()
 	if body, ok := req.Body.(*Body); ok && req.Header.Get("Expect") != "" {
 		// The receiver acts only on a request with its body, which the transport sends
@@ -157,6 +294,18 @@
 	tracker *tracker
 }
 
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	b.tracker.acceptResponse()
+	return b.ReadCloser.Read(p)
+}
+
+// Close implements io.Closer.
+func (b *responseBody) Close() error {
+	b.tracker.acceptResponse()
+	return b.ReadCloser.Close()
+}
+
 // Discard closes a response that Do returned, and its connection, which is not used again.
 func Discard(res *http.Response) {
 	if b, ok := res.Body.(*responseBody); ok {
--- /dev/null
+++ b/exchange/silent.go
@@ -0,0 +1,27 @@
+package exchange
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// receive reads what a socket holds, without waiting. It returns unix.EAGAIN when that is nothing.
+func receive(fd int, p []byte) (int, error) {
+	for {
+		n, err := unix.Read(fd, p)
+		if err != unix.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
+// silent reports whether the connection is open and holds no bytes that wait to be read. It does
+// not wait for a Read in progress.
+func silent(c syscall.RawConn) bool {
+	var received error
+	err := c.Control(func(fd uintptr) {
+		_, _, received = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && (received == unix.EAGAIN || received == unix.EINTR)
+}
