entry: a backend server that refused a hedged request does not get it again

Clients could get 503 ("not run") for an idempotent request that a backend server was running. Of two parallel attempts only the first backend server counted as tried. When both refused, the request went to the second one again, on the same connection and with the same ID, and a copy of the refusal that the server wrote once more was taken for the answer. Work that must not repeat is not hedged and was not affected.

The backend servers of both attempts now count as tried, and of two refusals that of a backend server decides how the first one counts, since refusals by guards allow another try there.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -28,6 +28,8 @@
 
 // hedgeResult is the result of one of two parallel attempts.
 type hedgeResult struct {
+	// backend is the ID of the backend server that was tried.
+	backend  string
 	errReply *ErrorReply
 	// panicked is the value with which the attempt panicked to abort the caller's connection, or
 	// nil.
@@ -35,7 +37,8 @@
 }
 
 // attemptHedged makes an attempt, and a second one in parallel if the first has not ended
-// within the hedge delay. The first success is used, and the other attempt is cancelled.
+// within the hedge delay. The first success is used, and the other attempt is cancelled. Backend
+// servers whose attempts failed are added to a.Tried, so that none gets the request again.
 func (rs *requestState) attemptHedged(w http.ResponseWriter, r *http.Request, c balance.Choice, a balance.Attempt) *ErrorReply {
 	delay, ok := rs.hedgeDelay()
 	if !ok {
@@ -47,7 +50,7 @@
 	results := make(chan hedgeResult, 2)
 	launch := func(rs *requestState, c balance.Choice) {
 		go func() {
-			var result hedgeResult
+			result := hedgeResult{backend: c.Backend.ID}
 			defer func() {
 				result.panicked = recover()
 				results <- result
@@ -85,7 +88,8 @@
 				// The other attempt is relaying a long answer to the caller.
 				continue
 			}
-			last = preferredFailure(last, result.errReply)
+			a.Tried[result.backend] = result.errReply.Reason
+			last = parallelFailure(last, result.errReply)
 		}
 	}
 	if rs.hedged {
@@ -117,6 +121,16 @@
 	return a
 }
 
+// parallelFailure returns which failure of two parallel attempts to report. The reason of the result
+// also counts as that of the first backend server, so a refusal by a backend server takes
+// precedence over one by a guard, after which the backend server could be tried again.
+func parallelFailure(a, b *ErrorReply) *ErrorReply {
+	if a != nil && a.mayHaveReachedBackend() && !b.mayHaveReachedBackend() {
+		return a
+	}
+	return preferredFailure(a, b)
+}
+
 // chooseSecond chooses another backend server of the same region for the second attempt. Since
 // that attempt can wait, none is chosen when only suspected ones are left and each of them is
 // likely to fail.
--- a/entry/hedge_test.go
+++ b/entry/hedge_test.go
@@ -22,3 +22,17 @@
 		assert.Equal(t, preferredFailure(c.a, c.b), c.want)
 	}
 }
+
+// Guards against a backend server being tried again after it has refused a request: of two parallel
+// attempts, a guard can refuse the other one, and refusals by guards allow another try.
+func TestRefusalByBackendServerPrecedesThatByGuard(t *testing.T) {
+	suspect := NotRun(503, hop.ReasonSuspect, "")
+	declined := NotRun(503, hop.ReasonDeclined, "")
+	lost := Unknown(hop.ReasonAnswerLost, "")
+	for _, c := range []struct{ a, b, want *ErrorReply }{
+		{nil, suspect, suspect}, {suspect, declined, declined}, {declined, suspect, declined},
+		{lost, declined, lost}, {declined, lost, lost}, {lost, suspect, lost},
+	} {
+		assert.Equal(t, parallelFailure(c.a, c.b), c.want)
+	}
+}
