entry, platform: a planned stop ends every wait in time for an answer

Callers whose request waited when its node was stopped got no answer: the connection was closed at 0.9 of the stop timeout. This concerned requests that waited for another backend server after a failure or a refusal, in the queue of a guard, and for the rest of their own body, and work that outlasted the stop.

Cause: only the servers knew of the stop. The waits of the entry are bounded by the target latency or the timeout of the request, which may be longer than the stop, and the queue of the guard was not told either. The guard's listener was closed early, so that an attempt at the own guard could be reset in the backlog and count as possibly run.

The caller gets the failure of a backend server if there is one, 503 if the work certainly did not run (work that waits at another guard is revoked there first), else 502.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -72,6 +72,9 @@
 	rw.StopInformational()
 	ra.feedback.guardReplied = err == nil
 	ra.feedback.pathFailed = err != nil && r.Context().Err() == nil
+	if err != nil && !sent && ra.givenUp() {
+		return stopping()
+	}
 	if err != nil && !sent {
 		return NotRun(http.StatusServiceUnavailable, hop.ReasonUnreachable, "the guard cannot be reached").markUnanswered()
 	}
@@ -269,6 +272,9 @@
 // resolveLostAnswer finds out what became of an attempt that has no usable reply. It returns
 // nil after delivering an answer that the guard retained.
 func (ra *requestAttempt) resolveLostAnswer() *ErrorReply {
+	if ra.givenUp() {
+		return ra.givenUpReply()
+	}
 	if ra.r.Context().Err() != nil {
 		// This context also ends when the caller's request body misses its read deadline.
 		ra.cancelAtGuard()
@@ -324,9 +330,14 @@
 // resolve asks the guard what became of the attempt, and fetches the answer if the guard
 // retained it.
 func (ra *requestAttempt) resolve() (attempt.State, *attempt.Answer) {
+	return ra.resolveAt(ra.guardOfAttempt(), ra.id)
+}
+
+// guardOfAttempt returns the guard in the incarnation to which the attempt was sent.
+func (ra *requestAttempt) guardOfAttempt() membership.Guard {
 	g := ra.backend.Guard
 	g.Incarnation = ra.guardTime.Incarnation
-	return ra.resolveAt(g, ra.id)
+	return g
 }
 
 // resolveAt asks guard g what became of the attempt with the given ID, which may belong to
@@ -338,8 +349,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ra.r.Context(), limit)
 	defer cancel()
+	return ra.query(ctx, g, id, time.Until(ra.deadline)+hopGrace)
+}
+
+// query asks guard g what became of the attempt with the given ID, for which it waits while the
+// attempt runs.
+func (ra *requestAttempt) query(ctx context.Context, g membership.Guard, id string, wait time.Duration) (attempt.State, *attempt.Answer) {
 	resolver := ra.entry.config.Resolver
-	state, err := resolver.Resolve(ctx, g, id, time.Until(ra.deadline)+hopGrace)
+	state, err := resolver.Resolve(ctx, g, id, wait)
 	if err != nil {
 		return attempt.Unknown, nil
 	}
@@ -356,7 +373,7 @@
 // cancelAtGuard tells the guard that the caller has disconnected. The guard does not cancel
 // an attempt that is not idempotent merely because the connection from the entry was lost.
 func (ra *requestAttempt) cancelAtGuard() {
-	if ra.route.Idempotent {
+	if ra.route.Idempotent || ra.givenUp() {
 		return
 	}
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ra.r.Context()), cancelTimeout)
--- a/entry/body.go
+++ b/entry/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -25,8 +26,9 @@
 }
 
 // readBody reads the first part of the body, which is all of it up to maxReplayableBytes. It
-// refuses a body larger than limit; 0 means no limit.
-func readBody(w http.ResponseWriter, r *http.Request, stall time.Duration, limit int64) (*body, *ErrorReply) {
+// refuses a body larger than limit; 0 means no limit. It stops reading when a planned stop
+// ends all waits.
+func readBody(w http.ResponseWriter, r *http.Request, stall time.Duration, limit int64, stop *stop) (*body, *ErrorReply) {
 	if r.ContentLength == 0 {
 		return &body{}, nil
 	}
@@ -36,9 +38,13 @@
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	rest := &stallReader{reader: r.Body, controller: http.NewResponseController(w), timeout: stall}
+	rest := &stallReader{reader: r.Body, controller: http.NewResponseController(w), timeout: stall, stop: stop}
+	defer context.AfterFunc(stop.waits, rest.interrupt)()
 	var prefix bytes.Buffer
 	n, err := io.Copy(&prefix, io.LimitReader(rest, maxReplayableBytes+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) && stop.waitsEnded() {
+		return nil, stopping()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, NotRun(http.StatusRequestTimeout, hop.ReasonTimeout, "the request body made no progress")
 	}
@@ -53,6 +59,7 @@
 		return &body{prefix: prefix.Bytes()}, nil
 	}
 	rest.consumed.Store(false)
+	rest.stop = nil
 	return &body{prefix: prefix.Bytes(), rest: rest}, nil
 }
 
@@ -95,11 +102,19 @@
 	bytesRead  atomic.Int64
 	consumed   atomic.Bool
 	stalled    atomic.Bool
+	// stop ends the reads together with all waits. It is nil once the body is sent on as it arrives.
+	stop *stop
 }
 
+// interrupt ends a Read in progress.
+func (s *stallReader) interrupt() { s.controller.SetReadDeadline(time.Unix(1, 0)) }
+
 func (s *stallReader) Read(p []byte) (int, error) {
 	s.consumed.Store(true)
 	s.controller.SetReadDeadline(time.Now().Add(s.timeout))
+	if s.stop != nil && s.stop.waitsEnded() {
+		s.interrupt()
+	}
 	n, err := s.reader.Read(p)
 	s.bytesRead.Add(int64(n))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,6 +89,7 @@
 	clockReadings    clockReadings
 	originMu         sync.Mutex
 	originClassifier *retry.OriginClassifier
+	stop             *stop
 }
 
 const (
@@ -123,7 +124,7 @@
 		t.ExpectContinueTimeout = unlimitedContinueTimeout
 	}
 	splitter := balance.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	return &Entry{config: c, balancer: newBalancer(c), splitter: splitter, transport: t, originClassifier: retry.NewOriginClassifier()}
+	return &Entry{config: c, balancer: newBalancer(c), splitter: splitter, transport: t, originClassifier: retry.NewOriginClassifier(), stop: newStop()}
 }
 
 // Server returns the server of the traffic address: HTTP/1.1, and HTTP/2 with prior knowledge.
@@ -149,8 +150,11 @@
 		return
 	}
 	rs, errReply := e.newRequestState(r, received)
+	if errReply == nil && e.stop.refusing.Load() {
+		errReply = stopping()
+	}
 	if errReply == nil {
-		rs.body, errReply = readBody(w, r, e.config.Limits.BodyStallTimeout, rs.maxBody)
+		rs.body, errReply = readBody(w, r, e.config.Limits.BodyStallTimeout, rs.maxBody, e.stop)
 	}
 	if errReply == nil {
 		rs.key, errReply = rs.useKey(r, received)
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -135,6 +135,9 @@
 // that attempt can wait, none is chosen when only suspected ones are left and each of them is
 // likely to fail.
 func (rs *requestState) chooseSecond(first balance.Choice, a balance.Attempt) (balance.Choice, bool) {
+	if rs.entry.stop.waitsEnded() {
+		return balance.Choice{}, false
+	}
 	a.Tried = maps.Clone(a.Tried)
 	a.Tried[first.Backend.ID] = hop.ReasonTimeout
 	a.Retest, a.CanWait, a.SameRegionOnly = false, true, true
--- a/entry/requeststate.go
+++ b/entry/requeststate.go
@@ -86,6 +86,8 @@
 		rs.writeError(w, NotRun(http.StatusServiceUnavailable, hop.ReasonTimeout, "the time of the request is over"))
 		return
 	}
+	r, release := rs.withAttempts(r)
+	defer release()
 	errReply := rs.runAttempts(w, r)
 	rs.settleKey(errReply)
 	rs.reportFailedCall(errReply)
@@ -116,6 +118,10 @@
 	attempt := balance.Attempt{Tried: make(map[string]hop.Reason), Bytes: rs.headerSize + rs.body.length(r)}
 	allRefusedForHealth := true
 	for rs.hasAttemptsLeft() {
+		if rs.entry.stop.waitsEnded() {
+			result = preferredFailure(result, stopping())
+			break
+		}
 		attempt.Retest, attempt.CrossRegionAttempts = rs.mayRetest(), rs.crossRegionAttempts
 		attempt.SameRegionOnly = rs.declined
 		attempt.CanWait, attempt.QueueWait = rs.mayWait(), rs.queueWait()
@@ -222,7 +228,7 @@
 		return 0
 	}
 	p := retry.WaitPolicy{Target: rs.route.TargetLatency(), Timeout: rs.deadline.Sub(rs.received)}
-	return p.MaxWait(rs.possiblyRun > 0) - time.Since(rs.received)
+	return rs.entry.stop.limitWait(p.MaxWait(rs.possiblyRun > 0) - time.Since(rs.received))
 }
 
 // queueShare is the share of the time left for waiting that a request may spend in the queue of
--- a/guard/announce.go
+++ b/guard/announce.go
@@ -73,7 +73,7 @@
 }
 
 func (g *Guard) serveAnnounce(w http.ResponseWriter, r *http.Request) {
-	if g.stopping.Load() {
+	if g.stopping() {
 		http.Error(w, "stopping; announce to another node", http.StatusServiceUnavailable)
 		return
 	}
--- a/guard/attemptrequest.go
+++ b/guard/attemptrequest.go
@@ -75,8 +75,14 @@
 	return req, nil
 }
 
+// errStopping is the cause of a context that ended because the guard stops.
+var errStopping = errors.New("the guard is stopping")
+
 // reasonOf returns the reason for which ctx ended.
 func reasonOf(ctx context.Context) hop.Reason {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return hop.ReasonStopping
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return hop.ReasonTimeout
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -60,7 +59,9 @@
 	attempts      *attempts
 	attemptClock  attemptClock
 	repeatBudgets repeatBudgets
-	stopping      atomic.Bool
+	// stopped ends when the guard stops.
+	stopped context.Context
+	stop    context.CancelFunc
 }
 
 // New returns a guard.
@@ -74,11 +75,14 @@
 	if c.Expiry == 0 {
 		c.Expiry = announceExpiry
 	}
+	stopped, stop := context.WithCancel(context.Background())
 	return &Guard{
 		config:       c,
 		registry:     &registry{self: c.Self, clock: newClock(), expiry: c.Expiry, idleTimeout: c.IdleTimeout, exclusive: c.ExclusiveBackends, servers: make(map[string]server)},
 		attempts:     newAttempts(c.Limits),
 		attemptClock: newAttemptClock(c.Self.Incarnation),
+		stopped:      stopped,
+		stop:         stop,
 	}
 }
 
@@ -94,8 +98,11 @@
 	return bs
 }
 
-// Stop makes the guard refuse new attempts and announcements from now on.
-func (g *Guard) Stop() { g.stopping.Store(true) }
+// Stop makes the guard refuse new and queued attempts, and announcements, from now on.
+func (g *Guard) Stop() { g.stop() }
+
+// stopping reports whether the guard takes no new work.
+func (g *Guard) stopping() bool { return g.stopped.Err() != nil }
 
 // maxBufferedBody is the size up to which a request body is read completely before
 // admission. The dispatch then does not depend on the connection to the entry, whose
@@ -173,11 +180,12 @@
 		g.refuse(w, req, hop.ReasonBadRequest)
 		return
 	}
-	// When the connection to the entry is lost, a queued attempt is dropped, and a
-	// dispatched one only if it is idempotent.
-	queueCtx, cancelQueue := context.WithCancel(ctx)
-	defer cancelQueue()
-	stopQueue := context.AfterFunc(r.Context(), cancelQueue)
+	// When the connection to the entry is lost or the guard stops, a queued attempt is dropped. A
+	// dispatched one is dropped only when the connection is lost, if it is idempotent.
+	queueCtx, cancelQueue := context.WithCancelCause(ctx)
+	defer cancelQueue(nil)
+	stopQueue := context.AfterFunc(r.Context(), func() { cancelQueue(nil) })
+	defer context.AfterFunc(g.stopped, func() { cancelQueue(errStopping) })()
 	s, reason := g.admit(queueCtx, &req)
 	if reason != "" {
 		g.refuse(w, req, reason)
@@ -193,7 +201,11 @@
 		g.refuse(w, req, hop.ReasonRetryBudget)
 		return
 	}
-	if queueCtx.Err() != nil || !g.attempts.dispatch(req.id) {
+	if queueCtx.Err() != nil {
+		g.refuse(w, req, reasonOf(queueCtx))
+		return
+	}
+	if !g.attempts.dispatch(req.id) {
 		g.refuse(w, req, hop.ReasonCancelled)
 		return
 	}
@@ -245,7 +257,7 @@
 }
 
 func (g *Guard) availableServer(req *attemptRequest) (server, hop.Reason) {
-	if g.stopping.Load() {
+	if g.stopping() {
 		return server{}, hop.ReasonStopping
 	}
 	s, ok := g.registry.lookup(req.backendID, time.Now())
