pipeline, platform: a planned stop waits for responses that are being written

A client that received slowly got its answers cut off when its node was stopped: the stop counted a request as ended when its handler returned, but package pipeline holds answers of up to 256 KB and writes them, in the order of the requests, after that. A request that had been read and whose handler had not begun was not counted either.

pipeline.Server now counts the requests that it has read until their responses are written, and the handed-over connections that carry a request, by their http.ConnState; the stop waits until both this and the count of handlers are 0.

--- a/linger/conn.go
+++ b/linger/conn.go
@@ -44,6 +44,9 @@
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// NetConn returns the connection that the server accepted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 func (c *conn) isEnding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -80,12 +80,22 @@
 	}
 	c.waitForResponses()
 	if errors.Is(err, errHandOver) && !c.isGone() && c.net.SetReadDeadline(time.Time{}) == nil {
-		c.server.handOver.put(&handedOver{Conn: c.net, reader: c.reader})
+		c.handOver()
 		return
 	}
 	linger.Close(c.net)
 }
 
+// handOver hands the connection over to net/http.
+func (c *conn) handOver() {
+	next := &handedOver{Conn: c.net, reader: c.reader}
+	// A part of a request has been read from the connection.
+	c.server.pending.connState(next, http.StateActive)
+	if !c.server.handOver.put(next) {
+		c.server.pending.connState(next, http.StateClosed)
+	}
+}
+
 // readRequests starts an exchange for each simple request. It returns errHandOver at a
 // request that is not one, and any other error when the connection has ended.
 func (c *conn) readRequests(ctx context.Context) error {
@@ -101,10 +111,13 @@
 		if !ok {
 			return errHandOver
 		}
+		c.server.pending.requestRead()
 		if err := c.takeFree(); err != nil {
+			c.server.pending.responseWritten()
 			return err
 		}
 		if _, err := c.reader.Discard(len(head)); err != nil {
+			c.server.pending.responseWritten()
 			return err
 		}
 		e := &exchange{conn: c, turn: turn, done: make(chan struct{})}
@@ -274,6 +287,7 @@
 
 // serve runs the handler and writes its response.
 func (e *exchange) serve(r *http.Request) {
+	defer e.conn.server.pending.responseWritten()
 	defer func() { e.conn.free <- struct{}{} }()
 	defer close(e.done)
 	w := newResponse(e, r)
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -35,13 +35,21 @@
 	listener net.Listener
 	conns    map[*conn]struct{}
 	closing  bool
+	pending  pending
 }
 
 // NewServer returns a server that uses the handler and the limits of s, and s itself for the
 // connections that are handed over. Those of them that linger after an answer to an unread body
-// count in inFlight, which may be nil.
+// count in inFlight, which may be nil. It sets the ConnState of s.
 func NewServer(s *http.Server, inFlight *atomic.Int64, logger *log.Logger) *Server {
-	return &Server{http: linger.NewServer(s, inFlight), handOver: newHandOverListener(), logger: logger, conns: make(map[*conn]struct{})}
+	server := &Server{http: linger.NewServer(s, inFlight), handOver: newHandOverListener(), logger: logger, conns: make(map[*conn]struct{})}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+			c = wrapped.NetConn()
+		}
+		server.pending.connState(c, state)
+	}
+	return server
 }
 
 // Serve accepts connections until the server is shut down or closed; it then returns
@@ -163,12 +171,15 @@
 	return &handOverListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
-// put hands a connection over. It closes the connection when the listener is closed.
-func (l *handOverListener) put(c net.Conn) {
+// put hands a connection over and returns true. When the listener is closed, it closes the
+// connection and returns false.
+func (l *handOverListener) put(c net.Conn) bool {
 	select {
 	case l.conns <- c:
+		return true
 	case <-l.closed:
 		c.Close()
+		return false
 	}
 }
 
