platform: a departed backend server stays out across a restart of its node

Callers lost bookings (502): a backend server whose departure a node had acknowledged got requests again, 5 s and more later, after the node was stopped and started again and a heartbeat from before arrived (DRAIN).

The publisher writes a departure whatever the directory shows, and reports when the store has acknowledged it; the acknowledgement waits for that, 0.6 s at most, so that it is given within the second also while the store does not answer.

--- a/directory/publisher.go
+++ b/directory/publisher.go
@@ -47,21 +47,31 @@
 	directory *Directory
 	writer    Writer
 	logger    *log.Logger
-	wanted    chan *Record
+	wanted    chan target
 	changed   chan struct{}
 }
 
+// target is a record that the store should hold; nil means none.
+type target struct {
+	record *Record
+	// stored is closed when the store has acknowledged the record.
+	stored chan struct{}
+}
+
 // NewPublisher returns a publisher for the node.
 func NewPublisher(node string, d *Directory, w Writer, logger *log.Logger) *Publisher {
-	return &Publisher{node: node, directory: d, writer: w, logger: logger, wanted: make(chan *Record, 1), changed: make(chan struct{}, 1)}
+	return &Publisher{node: node, directory: d, writer: w, logger: logger, wanted: make(chan target, 1), changed: make(chan struct{}, 1)}
 }
 
-// SetWanted sets the record that the store should hold; nil means that it should hold none.
-func (p *Publisher) SetWanted(r *Record) {
+// SetWanted sets the record that the store should hold; nil means that it should hold none. The
+// returned channel is closed when the store has acknowledged that, which does not happen if another
+// record is wanted before.
+func (p *Publisher) SetWanted(r *Record) <-chan struct{} {
+	t := target{record: r, stored: make(chan struct{})}
 	for {
 		select {
-		case p.wanted <- r:
-			return
+		case p.wanted <- t:
+			return t.stored
 		default:
 		}
 		select {
@@ -80,15 +90,26 @@
 	}
 }
 
-// writeState is the wanted record of a publisher and the state of its last write.
+// writeState is the wanted record of a publisher and the state of its writes.
 type writeState struct {
-	wanted *Record
+	target
 	// hasWanted is false until SetWanted is called; a record of an earlier process stays
 	// in the store until then.
 	hasWanted bool
+	// written is set once the store has acknowledged the wanted record.
 	written   bool
 	writtenAt time.Time
 	backoff   time.Duration
+	// tried is set once a write of the wanted record was sent, wroteOther when a write of another
+	// record was sent after the last acknowledged one. The directory may not show such a write yet.
+	tried, wroteOther bool
+}
+
+// mustWrite reports whether the wanted record is to be written whatever the directory shows. The
+// directory may be seconds out of date, and a departure counts only once the store has acknowledged
+// it.
+func (s *writeState) mustWrite() bool {
+	return !s.written && (s.wroteOther || s.record != nil && s.record.Leaving)
 }
 
 // Run keeps the stored record equal to the wanted one until ctx ends.
@@ -100,8 +121,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case state.wanted = <-p.wanted:
-			state.hasWanted, state.written, state.backoff = true, false, 0
+		case state.target = <-p.wanted:
+			state.wroteOther = state.wroteOther || state.tried
+			state.hasWanted, state.written, state.tried, state.backoff = true, false, false, 0
 		case <-p.changed:
 		case <-timer.C:
 		}
@@ -115,22 +137,26 @@
 // the time after which to compare again, 0 if only a change makes that useful.
 func (p *Publisher) reconcile(ctx context.Context, state *writeState) time.Duration {
 	stored, found, loaded := p.directory.Record(p.node)
-	if !state.hasWanted || !loaded && !state.written {
+	if !state.hasWanted || !loaded && !state.written && !state.mustWrite() {
 		return minWriteBackoff
 	}
-	if matches(state.wanted, stored, found) {
+	if matches(state.record, stored, found) && !state.mustWrite() {
 		return 0
 	}
 	if state.written && time.Since(state.writtenAt) < confirmTimeout {
 		return confirmTimeout - time.Since(state.writtenAt)
 	}
-	if err := p.write(ctx, state.wanted, found); err != nil {
+	state.tried = true
+	if err := p.write(ctx, state.record, found); err != nil {
 		state.backoff = min(max(2*state.backoff, minWriteBackoff), maxWriteBackoff)
 		p.logger.Warn("record not written", "err", err.Error(), "retry_ms", state.backoff.Milliseconds())
 		return state.backoff
 	}
-	p.logger.Info("record written", "record", describe(state.wanted))
-	state.written, state.writtenAt, state.backoff = true, time.Now(), 0
+	p.logger.Info("record written", "record", describe(state.record))
+	if !state.written {
+		close(state.stored)
+	}
+	state.written, state.wroteOther, state.writtenAt, state.backoff = true, false, time.Now(), 0
 	return confirmTimeout
 }
 
