presence: a process whose heartbeats go on comes back

A backend server stayed out until its next start after one announcement that was not its own: a DELETE of the process before it under the same id, a heartbeat of another writer with a later born, or one with a sequence that its own heartbeats do not reach. Its service had less capacity for that long, and its heartbeats were acknowledged and ignored.

The tracker could not tell a process that goes on from a departed one whose heartbeats are late. Two ready heartbeats of a process with rising sequences, 0.3 s apart or more, now bring it back; within 10 s after its leaving was announced, and after a heartbeat of another process that has sent several, they do not count, so that a real departure holds. A leaving heartbeat that is stale marks its process as departed, and one of the present process takes effect also out of order, because its acknowledgement binds either way.

Bounds now: two heartbeats, or 10 s and two heartbeats.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -2,7 +2,12 @@
 // its heartbeats. It detects stale heartbeats and restarts. It does no I/O and reads no clock.
 package presence
 
-import "github.com/jackdawlane/jackdawlane/membership"
+import (
+	"slices"
+	"time"
+
+	"github.com/jackdawlane/jackdawlane/membership"
+)
 
 // Heartbeat is what a backend server reports about itself.
 type Heartbeat struct {
@@ -24,6 +29,9 @@
 	startMS  int64
 }
 
+// process returns the process that sent the heartbeat.
+func (h Heartbeat) process() process { return process{h.Instance, h.StartTimeMS} }
+
 // Effect is what a heartbeat changes in the tracked state.
 type Effect int
 
@@ -31,7 +39,7 @@
 const (
 	// Stale heartbeats change nothing. They arrived after a heartbeat of the same process with
 	// the same or a higher sequence, or after one of a process that started later, or their
-	// process has left or been replaced.
+	// process has left or been replaced, and nothing shows that the process is still there.
 	Stale Effect = iota
 	// Current heartbeats repeat the known state.
 	Current
@@ -41,43 +49,125 @@
 	Restarted
 )
 
-// maxDeparted bounds the number of departed processes that are kept.
-const maxDeparted = 64
+const (
+	// MaxDelay is the longest time that a heartbeat is assumed to take until it arrives.
+	MaxDelay = 10 * time.Second
+	// minSpacing is the shortest time between two heartbeats of a process that count as two.
+	// Heartbeats that were held up together arrive together.
+	minSpacing = 300 * time.Millisecond
+	// maxDeparted bounds the number of departed processes that are kept.
+	maxDeparted = 64
+)
+
+// departure is a process that has left or been replaced; its late heartbeats are stale.
+type departure struct {
+	process
+	// left is set when the process announced that it leaves, and not only was replaced.
+	left bool
+	at   time.Time
+}
+
+// rival is a process that sends heartbeats although they are stale.
+type rival struct {
+	process
+	sequence int64
+	at       time.Time
+}
 
 // Tracker holds the latest state of the backend server of a node.
+//
+// An announcement may come from another writer, or be one of an earlier process with the same
+// instance, and make the heartbeats of the present process stale. A process is therefore taken for
+// present again when its ready heartbeats go on: after two of them with rising sequences since the
+// latest heartbeat that was not stale. They do not count within MaxDelay after the process or a later one of its instance announced that it leaves, when they may be late, and within
+// MaxDelay after a heartbeat of another process that has sent at least two.
 type Tracker struct {
 	// known is set while last describes a process that has not left.
 	known bool
 	last  Heartbeat
-	// departed holds the processes that have left or been replaced; their late heartbeats are stale.
-	departed []process
+	// lastAt is the arrival time of last; count is the number of heartbeats of its process.
+	lastAt   time.Time
+	count    int
+	departed []departure
+	rival    rival
 }
 
 // Last returns the latest heartbeat that was not stale. It returns false before the first
 // heartbeat and after the backend server has left.
 func (t *Tracker) Last() (Heartbeat, bool) { return t.last, t.known }
 
-// Handle updates the state with a heartbeat and returns what the heartbeat changed.
-func (t *Tracker) Handle(h Heartbeat) Effect {
-	if t.hasDeparted(h.Instance, h.StartTimeMS) {
+// Handle updates the state with a heartbeat that arrives now and returns what the heartbeat
+// changed.
+func (t *Tracker) Handle(h Heartbeat, now time.Time) Effect {
+	if t.isStale(h) && !t.goesOn(h, now) {
+		if h.State == membership.StateLeaving {
+			// The heartbeat is acknowledged, and that is binding.
+			t.addDeparted(departure{h.process(), true, now})
+		}
 		return Stale
 	}
-	if !t.known {
-		t.known, t.last = true, h
-		return Restarted
+	if t.isPresent(h.process()) && h.State == membership.StateLeaving {
+		h.Sequence = max(h.Sequence, t.last.Sequence)
 	}
-	same := h.Instance == t.last.Instance && h.StartTimeMS == t.last.StartTimeMS
+	return t.accept(h, now)
+}
+
+func (t *Tracker) isPresent(p process) bool { return t.known && t.last.process() == p }
+
+func (t *Tracker) isStale(h Heartbeat) bool {
 	switch {
-	case same && h.Sequence <= t.last.Sequence:
-		return Stale
-	case !same && h.StartTimeMS < t.last.StartTimeMS:
-		return Stale
+	case t.isPresent(h.process()):
+		leaves := h.State == membership.StateLeaving && t.last.State == membership.StateReady
+		return h.Sequence <= t.last.Sequence && !leaves
+	case t.hasDeparted(h.process()):
+		return true
 	}
-	old := t.last
-	t.last = h
+	return t.known && h.StartTimeMS < t.last.StartTimeMS
+}
+
+// goesOn reports whether a stale heartbeat shows that its process is still there.
+func (t *Tracker) goesOn(h Heartbeat, now time.Time) bool {
+	if h.State != membership.StateReady || t.mayBeLate(h.process(), now) {
+		return false
+	}
+	if t.rival.process != h.process() || h.Sequence <= t.rival.sequence {
+		t.rival = rival{h.process(), h.Sequence, now}
+		return false
+	}
+	return now.Sub(t.rival.at) >= minSpacing
+}
+
+// mayBeLate reports whether stale heartbeats of a process are most likely late ones.
+func (t *Tracker) mayBeLate(p process, now time.Time) bool {
+	if t.known && now.Sub(t.lastAt) < MaxDelay {
+		leaving := t.last.Instance == p.instance && t.last.State == membership.StateLeaving
+		if leaving || t.last.process() != p && t.count > 1 {
+			return true
+		}
+	}
+	for _, d := range t.departed {
+		if d.covers(p) && d.left && now.Sub(d.at) < MaxDelay {
+			return true
+		}
+	}
+	return false
+}
+
+// accept makes a heartbeat the latest one.
+func (t *Tracker) accept(h Heartbeat, now time.Time) Effect {
+	old, known, same := t.last, t.known, t.isPresent(h.process())
+	left := old.State == membership.StateLeaving
+	if known && !same && (left || h.StartTimeMS >= old.StartTimeMS) {
+		t.addDeparted(departure{old.process(), left, t.lastAt})
+	}
+	t.departed = slices.DeleteFunc(t.departed, func(d departure) bool { return d.covers(h.process()) })
+	t.known, t.last, t.lastAt, t.rival = true, h, now, rival{}
+	if !same {
+		t.count = 0
+	}
+	t.count++
 	switch {
 	case !same:
-		t.addDeparted(process{old.Instance, old.StartTimeMS})
 		return Restarted
 	case h.Service != old.Service || h.Slots != old.Slots || h.State != old.State:
 		return Changed
@@ -87,35 +177,35 @@
 
 // Leave records that the process of an instance has left. It reports whether that was the
 // process of the latest heartbeat; otherwise nothing changes.
-func (t *Tracker) Leave(instance string) bool {
+func (t *Tracker) Leave(instance string, now time.Time) bool {
 	if !t.known || t.last.Instance != instance {
 		return false
 	}
-	t.addDeparted(process{t.last.Instance, t.last.StartTimeMS})
+	t.addDeparted(departure{t.last.process(), true, now})
 	t.known = false
 	return true
 }
 
 // MarkDeparted marks a process as departed, for example one that left before the tracker was
 // created. Its heartbeats are stale from then on.
-func (t *Tracker) MarkDeparted(instance string, startMS int64) {
-	t.addDeparted(process{instance, startMS})
+func (t *Tracker) MarkDeparted(instance string, startMS int64, now time.Time) {
+	t.addDeparted(departure{process{instance, startMS}, true, now})
 }
 
-func (t *Tracker) addDeparted(p process) {
-	t.departed = append(t.departed, p)
+func (t *Tracker) addDeparted(d departure) {
+	t.departed = slices.DeleteFunc(t.departed, func(old departure) bool { return old.process == d.process })
+	t.departed = append(t.departed, d)
 	if len(t.departed) > maxDeparted {
 		t.departed = t.departed[1:]
 	}
 }
 
-// hasDeparted reports whether a process has departed. A later process may have the same
-// instance, but has a later start time.
-func (t *Tracker) hasDeparted(instance string, startMS int64) bool {
-	for _, p := range t.departed {
-		if p.instance == instance && startMS <= p.startMS {
-			return true
-		}
-	}
-	return false
+// covers reports whether the departure is that of a process or of a later one of its instance. A
+// process that starts later has a later start time.
+func (d departure) covers(p process) bool {
+	return d.instance == p.instance && p.startMS <= d.startMS
+}
+
+func (t *Tracker) hasDeparted(p process) bool {
+	return slices.ContainsFunc(t.departed, func(d departure) bool { return d.covers(p) })
 }
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -33,22 +34,24 @@
 		{"delayed, from the previous process", heartbeat("a", 20, 9, ready), Stale},
 	}
 	var tracker Tracker
+	now := time.Now()
 	for _, s := range steps {
-		assert.Equal(t, tracker.Handle(s.heartbeat), s.want, s.desc)
+		assert.Equal(t, tracker.Handle(s.heartbeat, now), s.want, s.desc)
 	}
-	assert.Assert(t, !tracker.Leave("a"), "the latest heartbeat is from another instance")
-	assert.Assert(t, tracker.Leave("b"))
-	assert.Equal(t, tracker.Handle(heartbeat("b", 30, 2, ready)), Stale, "delayed, from a process that has left")
+	assert.Assert(t, !tracker.Leave("a", now), "the latest heartbeat is from another instance")
+	assert.Assert(t, tracker.Leave("b", now))
+	assert.Equal(t, tracker.Handle(heartbeat("b", 30, 2, ready), now), Stale, "delayed, from a process that has left")
 	_, known := tracker.Last()
 	assert.Assert(t, !known)
-	assert.Equal(t, tracker.Handle(heartbeat("b", 40, 1, ready)), Restarted)
+	assert.Equal(t, tracker.Handle(heartbeat("b", 40, 1, ready), now), Restarted)
 }
 
 // Guards against a restarted node that takes a delayed heartbeat of a process that left
 // before the restart for one of a new process.
 func TestForget(t *testing.T) {
 	var tracker Tracker
-	tracker.MarkDeparted("a", 10)
-	assert.Equal(t, tracker.Handle(heartbeat("a", 10, 7, membership.StateReady)), Stale)
-	assert.Equal(t, tracker.Handle(heartbeat("a", 11, 1, membership.StateReady)), Restarted)
+	now := time.Now()
+	tracker.MarkDeparted("a", 10, now)
+	assert.Equal(t, tracker.Handle(heartbeat("a", 10, 7, membership.StateReady), now), Stale)
+	assert.Equal(t, tracker.Handle(heartbeat("a", 11, 1, membership.StateReady), now), Restarted)
 }
