entry: choose the route by the path as sent

Requests for /shop/book%2Fx and /shop%2Fbook/x ran at the service of /shop/book/, although that prefix does not begin the path that the client sent. The entry matched routes against URL.Path, which net/http has decoded.

exchange.Target returns the target as the sender wrote it, from the request line; an absolute URI is reduced to its path and query. The entry matches its path. A target without a path, such as mailto:x, gets 400; http://host means the path "/".

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -194,7 +194,11 @@
 	}
 	rs.maxBody = info.BodyBytes
 	hop.DropProjectHeaders(r.Header)
-	rt, ok := snapshot.Match(info.Organisation, r.Host, r.Method, r.URL.Path)
+	target, ok := exchange.Target(r)
+	if !ok {
+		return rs, NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "the request target has no path")
+	}
+	rt, ok := snapshot.Match(info.Organisation, r.Host, r.Method, exchange.TargetPath(target))
 	if !ok {
 		return rs, NotRun(http.StatusNotFound, hop.ReasonNoRoute, "no route matches host, method and path")
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -36,7 +36,8 @@
 	// Host is the host of the matching requests, without a port; empty matches every
 	// host.
 	Host string `json:"host,omitempty"`
-	// PathPrefix matches whole path segments; "/" matches every path.
+	// PathPrefix matches whole segments of the path as the caller sent it, without decoding;
+	// "/" matches every path.
 	PathPrefix string `json:"path_prefix"`
 	// SlashRequired says that, if PathPrefix ends with '/', the path that equals the
 	// prefix without its trailing '/' does not match.
