exchange: send the target byte for byte

/shop/x|y reached the backend server as /shop/x%7Cy, and /shop/x|y%2Fz even as /shop/x%7Cy/z, a path with another number of segments: if a path has a byte that no URI may have, http.Transport ignores RawPath and encodes the decoded path anew. Both hops did so, entry to guard and guard to backend server.

NewRequest now sets an opaque URL with the target from the request line, which the transport writes unchanged. An opaque URL that begins with "//" would be sent with a scheme, so such a target goes through RawPath; if it also has a byte that RawPath does not take, it is refused with 400, as are targets with a space (possible in HTTP/2 only) and without a path. net/http itself refuses with 400 what it cannot parse: %zz in a path, spaces, control characters. Nothing on this way redirects: no ServeMux serves the traffic or hop address.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -196,7 +196,7 @@
 	hop.DropProjectHeaders(r.Header)
 	target, ok := exchange.Target(r)
 	if !ok {
-		return rs, NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "the request target has no path")
+		return rs, NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "the request target is not valid")
 	}
 	rt, ok := snapshot.Match(info.Organisation, r.Host, r.Method, exchange.TargetPath(target))
 	if !ok {
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -82,14 +82,16 @@
 	}
 }
 
-// NewRequest returns a copy of in that goes to address with the given body, without the
-// headers that apply to a single connection. body must be as long as the body of in.
+// NewRequest returns a copy of in that goes to address with the given body and the same target,
+// without the headers that apply to a single connection. in must have a Target, and body must be
+// as long as the body of in.
 func NewRequest(ctx context.Context, in *http.Request, address string, body io.Reader) (*http.Request, *Body) {
 	out := in.Clone(ctx)
+	target, _ := Target(in)
 	out.RequestURI = ""
+	out.URL = targetURL(target)
 	out.URL.Scheme = "http"
 	out.URL.Host = address
-	out.URL.User = nil
 	out.Close = false
 	out.TransferEncoding = nil
 	out.GetBody = nil
--- a/exchange/target.go
+++ b/exchange/target.go
@@ -2,12 +2,30 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strings"
 )
 
 // Target returns the path and the query of a request exactly as its sender wrote them, which
-// r.URL does not tell. It returns false if the request target has no path, as "mailto:x".
+// r.URL does not tell. It returns false if the request target has no path, as "mailto:x", or
+// cannot be sent on unchanged.
 func Target(r *http.Request) (string, bool) {
+	target, ok := originForm(r)
+	// An HTTP/2 request can have a space in its target.
+	if !ok || strings.Contains(target, " ") || targetURL(target).RequestURI() != target {
+		return "", false
+	}
+	return target, true
+}
+
+// TargetPath returns the part of a target before its query.
+func TargetPath(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// originForm returns the request target without the scheme and the host of an absolute URI.
+func originForm(r *http.Request) (string, bool) {
 	target := r.RequestURI
 	if strings.HasPrefix(target, "/") || target == "*" {
 		return target, true
@@ -30,8 +48,14 @@
 	return afterScheme[start:], true
 }
 
-// TargetPath returns the part of a target before its query.
-func TargetPath(target string) string {
-	path, _, _ := strings.Cut(target, "?")
-	return path
+// targetURL returns the URL that http.Transport writes as the target. It must be opaque, because
+// the transport encodes a path anew if that has a byte which is not valid there: "/a|b%2F" would
+// become "/a%7Cb/". An opaque URL that begins with "//" would be sent with a scheme.
+func targetURL(target string) *url.URL {
+	if strings.HasPrefix(target, "//") {
+		if u, err := url.ParseRequestURI(target); err == nil {
+			return u
+		}
+	}
+	return &url.URL{Opaque: target}
 }
--- a/exchange/target_test.go
+++ b/exchange/target_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net/http"
+	"net/url"
 	"strings"
 	"testing"
 
@@ -18,7 +19,10 @@
 		"http://host":                "/",
 		"http://host/":               "/",
 		"http://host?q=/x":           "/?q=/x",
-		"http://host//a|b?":          "//a|b?",
+		"http://host/a|b%2F?":        "/a|b%2F?",
+		"//a%2F?b|c":                 "//a%2F?b|c",
+		"http://host//a|b":           "",
+		"//a|b":                      "",
 		"HTTP://u:p@host:80/a%2Fb?c": "/a%2Fb?c",
 		"http://host/x://y/z":        "/x://y/z",
 		"/x://y/z":                   "/x://y/z",
@@ -32,3 +36,11 @@
 		assert.Check(t, got == want && ok == (want != ""), "%s: got %q, %t, want %q", sent, got, ok, want)
 	}
 }
+
+// Guards against a request line with a space in its target, which makes the rest of the target
+// something else.
+func TestTargetWithSpaceIsRefused(t *testing.T) {
+	r := &http.Request{Method: http.MethodGet, RequestURI: "/a b", URL: &url.URL{Path: "/a b"}}
+	_, ok := Target(r)
+	assert.Assert(t, !ok)
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -15,6 +15,7 @@
 
 	"github.com/jackdawlane/jackdawlane/admission"
 	"github.com/jackdawlane/jackdawlane/attempt"
+	"github.com/jackdawlane/jackdawlane/exchange"
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/membership"
 )
@@ -122,7 +123,7 @@
 	if req.backendID == "" {
 		req.backendID = membership.BackendID(req.service, g.config.Self.HopAddress)
 	}
-	if err != nil {
+	if _, ok := exchange.Target(r); !ok || err != nil {
 		g.writeFailure(w, req, http.StatusBadRequest, hop.OutcomeNotRun, hop.ReasonBadRequest)
 		return
 	}
