entry: answer "OPTIONS *" with 404

A caller that sent "OPTIONS * HTTP/1.1" got 200 without a signature, a success that no backend server had given. net/http answers this request itself before it calls the handler. The server of the traffic address now turns that off; no route's prefix begins "*", so the entry answers 404, as for "GET *".

TestAsteriskTargetMatchesNoRoute failed before with "OPTIONS *: got 200" and passes now.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,6 +139,8 @@
 		// This is above the limit that the handler checks, because the handler's refusal states
 		// outcome and reason.
 		MaxHeaderBytes: 2 * e.config.Limits.MaxHeaderBytes,
+		// net/http would answer "OPTIONS *" itself with 200.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
