hop: a Connection header does not strip the platform's own headers

A client that sent "Connection: keep-alive, Caller-Service" made the system drop the Caller-Service that the entry had set; one that named Request-Id lost the identity of its request, which the backend server then refused. A backend server's "Connection: Server-Signature" made its success arrive without a signature. The headers that Connection names were removed from the copy of the message that already had the system's headers, on each hop and in answers.

The headers of the hop itself are set after the removal and were not affected. Everything else that Connection names still stops, but for what an answer names beside "close": net/http removes such a header before we see it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -55,7 +55,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), rs.deadline.Add(hopGrace))
 	defer cancel()
-	req, sending := exchange.NewRequest(ctx, r, b.Guard.HopAddress, rs.body.reader())
+	req, sending := exchange.NewRequest(ctx, r, b.Guard.HopAddress, rs.body.reader(), rs.entry.config.Protocol.EndToEndHeaders())
 	ra.setHopHeaders(req, c.Force)
 	defer context.AfterFunc(ctx, func() { sending.Interrupt(w) })()
 	// Keeps the transport from reading the body after the end of the attempt.
@@ -263,7 +263,7 @@
 }
 
 func (rs *requestState) writeHeader(rw *exchange.ResponseWriter, status int, header, trailer http.Header) {
-	hop.DropHopByHop(header)
+	hop.DropHopByHop(header, rs.entry.config.Protocol.EndToEndHeaders())
 	hop.DropProjectHeaders(header)
 	rs.entry.config.Protocol.AnnotateAnswer(header)
 	rw.WriteHeader(status, header, trailer)
--- a/entry/native.go
+++ b/entry/native.go
@@ -61,6 +61,9 @@
 	return max(1, time.Duration(seconds*float64(time.Second))), true
 }
 
+// EndToEndHeaders implements Protocol.
+func (Native) EndToEndHeaders() []string { return nil }
+
 // AnnotateAnswer implements Protocol.
 func (Native) AnnotateAnswer(h http.Header) { h.Set(hop.HeaderOutcome, string(hop.OutcomeAnswer)) }
 
--- a/entry/protocol.go
+++ b/entry/protocol.go
@@ -28,6 +28,9 @@
 	ParseRequest(r *http.Request, s *config.Snapshot) (RequestInfo, *ErrorReply)
 	// WriteError writes a reply that the entry itself gives.
 	WriteError(w http.ResponseWriter, f *ErrorReply)
+	// EndToEndHeaders returns the names, in canonical form, of the headers of requests and answers
+	// that pass the entry whatever their Connection headers say.
+	EndToEndHeaders() []string
 	// AnnotateAnswer sets the headers that mark a backend server's answer for the caller.
 	AnnotateAnswer(h http.Header)
 }
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -86,7 +86,7 @@
 				all.Go(func() {
 					in, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
 					assert.Check(t, err)
-					out, body := NewRequest(ctx, in, address, strings.NewReader(""))
+					out, body := NewRequest(ctx, in, address, strings.NewReader(""), nil)
 					defer body.Close()
 					_, mayHaveRun, err := Do(transport, out, func(int, textproto.MIMEHeader) {})
 					assert.Check(t, err != nil)
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -83,9 +83,9 @@
 }
 
 // NewRequest returns a copy of in that goes to address with the given body and the same target,
-// without the headers that apply to a single connection. in must have a Target, and body must be
-// as long as the body of in.
-func NewRequest(ctx context.Context, in *http.Request, address string, body io.Reader) (*http.Request, *Body) {
+// without the headers that apply to a single connection; those in endToEnd never do. in must have
+// a Target, and body must be as long as the body of in.
+func NewRequest(ctx context.Context, in *http.Request, address string, body io.Reader, endToEnd []string) (*http.Request, *Body) {
 	out := in.Clone(ctx)
 	target, _ := Target(in)
 	out.RequestURI = ""
@@ -103,12 +103,12 @@
 		// Without this a POST with an empty body would be sent chunked.
 		out.TransferEncoding = []string{"identity"}
 	}
-	removeConnectionHeaders(out.Header)
+	removeConnectionHeaders(out.Header, endToEnd)
 	return out, wrapped
 }
 
-func removeConnectionHeaders(h http.Header) {
-	hop.DropHopByHop(h)
+func removeConnectionHeaders(h http.Header, endToEnd []string) {
+	hop.DropHopByHop(h, endToEnd)
 	// The HTTP server that received the request has answered the expectation.
 	h.Del("Expect")
 	if _, ok := h["User-Agent"]; !ok {
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -21,7 +21,7 @@
 	defer g.countRunning(req)()
 	timing := &backendTime{start: time.Now()}
 	rw := exchange.NewResponseWriter(w)
-	out, outBody := exchange.NewRequest(ctx, r, s.backend.Address, body)
+	out, outBody := exchange.NewRequest(ctx, r, s.backend.Address, body, g.config.Protocol.EndToEndHeaders())
 	g.setBackendHeaders(out, req, s)
 	// http.Transport waits for a Read of the request body that is in progress, so the
 	// deadline must interrupt that Read.
@@ -171,7 +171,7 @@
 // answer is still read and retained.
 func (g *Guard) relay(rw *exchange.ResponseWriter, res *http.Response, req attemptRequest) error {
 	streamed := res.ContentLength < 0
-	hop.DropHopByHop(res.Header)
+	hop.DropHopByHop(res.Header, g.config.Protocol.EndToEndHeaders())
 	hop.DropProjectHeaders(res.Header)
 	head := res.Header.Clone()
 	g.setHopHeaders(head, req, hop.OutcomeAnswer)
--- a/guard/protocol.go
+++ b/guard/protocol.go
@@ -44,6 +44,9 @@
 	RequestID(h http.Header) string
 	// Prepare sets the headers that the backend server expects.
 	Prepare(h http.Header, d Delivery)
+	// EndToEndHeaders returns the names, in canonical form, of the headers of requests and answers
+	// that pass the guard whatever their Connection headers say.
+	EndToEndHeaders() []string
 	// ClassifyResponse returns the class of a response to the request.
 	ClassifyResponse(request *http.Request, response *http.Response) ResponseClass
 }
@@ -59,5 +62,8 @@
 	h.Set("Request-Timeout", strconv.FormatFloat(d.Remaining.Seconds(), 'f', 3, 64))
 }
 
+// EndToEndHeaders implements Protocol.
+func (Native) EndToEndHeaders() []string { return nil }
+
 // ClassifyResponse implements Protocol.
 func (Native) ClassifyResponse(*http.Request, *http.Response) ResponseClass { return Matching }
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -145,11 +146,16 @@
 }
 
 // DropHopByHop removes the headers that concern one connection only, including those
-// that the Connection header names.
-func DropHopByHop(h http.Header) {
+// that the Connection header names. It keeps the headers in endToEnd, in canonical form,
+// also if the Connection header names them: a sender could otherwise remove what its
+// receiver relies on.
+func DropHopByHop(h http.Header, endToEnd []string) {
 	for _, value := range h.Values("Connection") {
 		for _, name := range strings.Split(value, ",") {
-			h.Del(strings.TrimSpace(name))
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if !slices.Contains(endToEnd, name) {
+				delete(h, name)
+			}
 		}
 	}
 	for _, name := range hopByHop {
