entry: refuse trailers that cannot be sent on with 400

A chunked request with "Trailer: a b", or with a trailer Content-Length, got 503 "unreachable: the guard cannot be reached", after an attempt at several guards. http.Transport does not send such a trailer, and its error was taken for a path that failed. By reading, the entry then avoids sound guards, 0.1 s doubling to 10 s, for its other callers as well.

The entry now checks the trailers after it has read the body, and refuses the request with 400.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,6 +158,9 @@
 	if errReply == nil {
 		rs.body, errReply = readBody(w, r, e.config.Limits.BodyStallTimeout, rs.maxBody, e.stop)
 	}
+	if errReply == nil {
+		errReply = checkTrailer(r.Trailer)
+	}
 	if errReply == nil {
 		rs.key, errReply = rs.useKey(r, received)
 	}
