exchange: a Trailer header of an answer does not strip its signature

An answer with "Trailer: Server-Signature, Request-Id" and both in its head reached clients without them, a success without a signature. The names were announced as trailers to the client too; package pipeline then leaves them out of the head, and after the body they have no value.

ResponseWriter.WriteHeader no longer announces a trailer that the head has. net/http sends such headers with the head, so only connections that package pipeline serves were affected.

TestTrailerOfAnswerCannotStripSignature failed before for both GET requests (header has Date only) and passes now (5 runs of 5 with -race).

--- a/exchange/response.go
+++ b/exchange/response.go
@@ -72,6 +72,8 @@
 		h["Content-Type"] = nil
 	}
 	r.trailerNames = trailerNames(trailer)
+	// Package pipeline would send a header that is also named as a trailer after the body only.
+	maps.DeleteFunc(r.trailerNames, func(name string, _ []string) bool { return len(header[name]) > 0 })
 	for name := range r.trailerNames {
 		h.Add("Trailer", name)
 	}
