entry: the fingerprint of a keyed request holds the target as sent

With the key of a request for /jobs/x%7Cy, one for /jobs/x|y got the answer of the former (own interface). Both targets now reach backend servers as they are, so they are different requests; the fingerprint was made of the target that URL.RequestURI encodes anew, which is the same for both.

TestKeyTellsEncodedTargetsApart failed before with "200 != 422" and passes now (3 runs of 3 with -race). Fingerprints of targets that are valid URIs in origin form are the same as before.

--- a/entry/keys.go
+++ b/entry/keys.go
@@ -60,9 +60,10 @@
 	if rs.body.rest == nil {
 		length = int64(len(rs.body.prefix))
 	}
+	target, _ := exchange.Target(r)
 	return &keyUse{
 		key:         idempotency.HashKey(rs.route.Organisation, rs.route.Name, values[0]),
-		fingerprint: idempotency.Fingerprint(r.Method, r.URL.RequestURI(), length, rs.body.prefix),
+		fingerprint: idempotency.Fingerprint(r.Method, target, length, rs.body.prefix),
 		received:    received,
 	}, nil
 }
