exchange: trailers cannot carry headers that the system sets

A client could send Caller-Service, Expect-Instance or a hop header as a trailer of a chunked request, and the backend server received it. A server that merges trailers into headers would have taken a forged caller's service. NewRequest now leaves out trailers with the names of end-to-end headers of the protocol and of the project's headers, on both hops; others pass as before.

--- a/exchange/request.go
+++ b/exchange/request.go
@@ -95,7 +95,7 @@
 	out.Close = false
 	out.TransferEncoding = nil
 	out.GetBody = nil
-	out.Trailer = trailerNames(in.Trailer)
+	out.Trailer = forwardedTrailerNames(in.Trailer, endToEnd)
 	_, inMemory := body.(*bytes.Reader)
 	wrapped := &Body{reader: body, inMemory: inMemory, atEOF: func() { copyValues(out.Trailer, in.Trailer) }}
 	out.Body = wrapped
@@ -128,6 +128,16 @@
 	return names
 }
 
+// forwardedTrailerNames leaves out the names of headers that the system sets or relies on.
+func forwardedTrailerNames(trailer http.Header, endToEnd []string) http.Header {
+	names := trailerNames(trailer)
+	hop.DropProjectHeaders(names)
+	for _, name := range endToEnd {
+		delete(names, name)
+	}
+	return names
+}
+
 func copyValues(to, from http.Header) {
 	for name := range to {
 		to[name] = from[name]
