exchange: a status below 200 ends no exchange

A backend server that answered 101 with its signature made a GET or HEAD end with "200 OK", an empty body and that signature, a success which nobody had given; a POST got the 101. A status such as 099 ended the guard's handler with a panic in http.ResponseWriter.WriteHeader, and its connection to the entry. http.Transport hands 101 and numbers below 100 out as responses; package pipeline takes 101 for an informational one and completes the answer with 200.

Do now treats such a response as none: the connection is closed, and the attempt failed and may have run. No request asks for an upgrade, because both hops drop Upgrade and Connection.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -27,6 +27,9 @@
 // errUnsolicited means that a response had begun before its request was sent.
 var errUnsolicited = errors.New("response began before the request was sent")
 
+// errNotFinal means that the status of a response is not one that can end an exchange.
+var errNotFinal = errors.New("the status of the response is not a final one")
+
 const (
 	// DialTimeout bounds the time to open a connection when nothing is known about the path.
 	DialTimeout = 2 * time.Second
@@ -270,13 +273,15 @@
 		},
 	}
 	res, err = t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err == nil && !tr.isUnsolicited() {
+	if err == nil {
+		err = checkResponse(res, tr)
+	}
+	if err == nil {
 		res.Body = &responseBody{ReadCloser: res.Body, tracker: tr}
 		return res, true, nil
 	}
-	if err == nil {
+	if res != nil {
 		defer res.Body.Close()
-		err = errUnsolicited
 	}
 	sent = tr.stopWrites()
 	if body, ok := req.Body.(*Body); ok && req.Header.Get("Expect") != "" {
@@ -288,6 +293,18 @@
 	return nil, sent, errors.Mark(err, ErrNoResponse)
 }
 
+// checkResponse reports why a response cannot be the one to its request.
+func checkResponse(res *http.Response, tr *tracker) error {
+	if res.StatusCode < http.StatusOK {
+		// http.Transport returns 101, for which nobody has asked, and numbers below 100.
+		return errNotFinal
+	}
+	if tr.isUnsolicited() {
+		return errUnsolicited
+	}
+	return nil
+}
+
 // responseBody is the body of a response with the tracker of its connection.
 type responseBody struct {
 	io.ReadCloser
--- a/exchange/unsolicited_test.go
+++ b/exchange/unsolicited_test.go
@@ -74,7 +74,7 @@
 		return nil, false, err
 	}
 	in.Header.Set("Id", id)
-	out, body := NewRequest(ctx, in, address, strings.NewReader(""))
+	out, body := NewRequest(ctx, in, address, strings.NewReader(""), nil)
 	defer body.Close()
 	return Do(transport, out, func(int, textproto.MIMEHeader) {})
 }
