--- a/linger/handler.go
+++ b/linger/handler.go
@@ -27,15 +27,15 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
-	b := &body{ReadCloser: r.Body}
+	// net/http looks at the body of its own copy of the request.
+	inner := r.WithContext(r.Context())
+	b := &body{ReadCloser: r.Body, outer: r, inner: inner}
 	rw := &responseWriter{ResponseWriter: w, request: r, body: b}
 	defer func() {
 		if rw.closing || !b.ended.Load() {
 			c.end()
 		}
 	}()
-	// net/http looks at the body of its own copy of the request.
-	inner := r.WithContext(r.Context())
 	inner.Body = b
 	h.next.ServeHTTP(rw, inner)
 	rw.beforeAnswer()
@@ -44,9 +44,12 @@
 // body is a request body that knows whether it was read to its end.
 type body struct {
 	io.ReadCloser
-	read   atomic.Int64
-	ended  atomic.Bool
-	failed atomic.Bool
+	// outer is the request of net/http, which gets the trailer at the end of the body, inner the one
+	// of the handler.
+	outer, inner *http.Request
+	read         atomic.Int64
+	ended        atomic.Bool
+	failed       atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -55,6 +58,7 @@
 	b.read.Add(int64(n))
 	switch {
 	case err == io.EOF:
+		b.inner.Trailer = b.outer.Trailer
 		b.ended.Store(true)
 	case err != nil:
 		b.failed.Store(true)
