watch: checks don't hide what they can't confirm, and lists without news don't end a watch

A list without news now leaves the watch, and another one starts beside it; - lists in parallel on a slow link cancelled each other for ever from 1.25 s of transfer on.

--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -43,11 +43,13 @@
 	mu     sync.Mutex
 	faults Faults
 	conns  map[*net.TCPConn]struct{}
+	// silent is closed, and replaced, to cut the connections that are open now.
+	silent chan struct{}
 }
 
 // New returns a relay to target.
 func New(target string) *Relay {
-	return &Relay{target: target, conns: make(map[*net.TCPConn]struct{})}
+	return &Relay{target: target, conns: make(map[*net.TCPConn]struct{}), silent: make(chan struct{})}
 }
 
 // Set replaces the faults.
@@ -74,6 +76,21 @@
 	}
 }
 
+// SilenceConnections cuts every open connection for good. The connections stay open, and new ones
+// work.
+func (l *Relay) SilenceConnections() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.silent)
+	l.silent = make(chan struct{})
+}
+
+func (l *Relay) silenced() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
+
 // Serve relays connections from listener until it is closed, and then returns ErrAccept.
 func (l *Relay) Serve(listener net.Listener) error {
 	for {
@@ -98,8 +115,9 @@
 	l.track(client, target)
 	defer l.untrack(client, target)
 	var wg sync.WaitGroup
-	wg.Go(func() { l.forward(target, client, func(f Faults) Direction { return f.ToTarget }) })
-	wg.Go(func() { l.forward(client, target, func(f Faults) Direction { return f.ToClient }) })
+	silent := l.silenced()
+	wg.Go(func() { l.forward(target, client, silent, func(f Faults) Direction { return f.ToTarget }) })
+	wg.Go(func() { l.forward(client, target, silent, func(f Faults) Direction { return f.ToClient }) })
 	wg.Wait()
 }
 
@@ -127,8 +145,9 @@
 	due  time.Time
 }
 
-// forward forwards the bytes and the end of one direction's stream. A cut direction drops the end as well.
-func (l *Relay) forward(to, from *net.TCPConn, direction func(Faults) Direction) {
+// forward forwards the bytes and the end of one direction's stream. A cut direction drops the end as
+// well; it is cut for good once silent is closed.
+func (l *Relay) forward(to, from *net.TCPConn, silent <-chan struct{}, direction func(Faults) Direction) {
 	chunks := make(chan chunk, chunksInFlight)
 	var wg sync.WaitGroup
 	wg.Go(func() { write(to, chunks) })
@@ -139,7 +158,7 @@
 		data := make([]byte, chunkBytes)
 		n, err := from.Read(data)
 		d := direction(l.Faults())
-		cut = cut || d.Cut
+		cut = cut || d.Cut || isClosed(silent)
 		due := time.Now().Add(time.Duration(d.DelayMS) * time.Millisecond)
 		if n > 0 && !cut {
 			chunks <- chunk{data[:n], due}
@@ -154,6 +173,15 @@
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // write sends each chunk when it is due; at a chunk without data it closes the direction for writing.
 func write(to *net.TCPConn, chunks <-chan chunk) {
 	for c := range chunks {
--- a/watch/calls.go
+++ b/watch/calls.go
@@ -8,9 +8,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxParallelCalls bounds the lists and watches of one follower that wait for a response at the same
-// time.
-const maxParallelCalls = 4
+// maxLists and maxWatches bound the calls of one follower that wait for a response at the same time.
+const (
+	maxLists   = 3
+	maxWatches = 2
+)
 
 // callKind names the kind of a call, for the log.
 type callKind string
@@ -31,8 +33,8 @@
 }
 
 // call makes the next call, and checks while a watch waits. While a call or a check gets no response
-// in time, it adds lists, whose connections are new. The first response that is not an error
-// counts, but for checks without changes, and ends the other calls.
+// in time, it adds lists, whose connections are new. It returns the first response that brings
+// something new, or that of a watch, and ends the other calls.
 func (f *follower) call(ctx context.Context) result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -48,6 +50,9 @@
 			r.addList(checkCall)
 		case <-r.overdue.C:
 			r.addList(watchCall)
+		case <-r.listBegan:
+			// The store answers, however long the list takes.
+			r.overdue.Reset(f.options.Timeout)
 		case result := <-r.results:
 			if r.ends(result) {
 				return result
@@ -56,13 +61,14 @@
 	}
 }
 
-// round holds the calls of which the first response counts.
+// round holds the calls of which one response counts.
 type round struct {
 	*follower
-	ctx     context.Context
-	results chan result
-	// revision is the one from which the watch and the checks continue.
-	revision uint64
+	ctx       context.Context
+	results   chan result
+	listBegan chan struct{}
+	// from is the revision from which the watches and the checks continue.
+	from uint64
 	// waiting holds the lists and watches without a response, the oldest one first.
 	waiting []startedCall
 	started int
@@ -71,11 +77,14 @@
 	overdue, checkOverdue *time.Timer
 	checkDue              *time.Ticker
 	checking              bool
+	// late is the kind of the call that got no response in time last; empty once it got one.
+	late callKind
 }
 
 // startedCall is a list or a watch that has no response yet.
 type startedCall struct {
 	id     int
+	kind   callKind
 	cancel context.CancelFunc
 }
 
@@ -85,7 +94,8 @@
 		follower:     f,
 		ctx:          ctx,
 		results:      make(chan result),
-		revision:     f.revision,
+		listBegan:    make(chan struct{}),
+		from:         f.revision,
 		overdue:      time.NewTimer(f.options.Overdue),
 		checkOverdue: time.NewTimer(f.options.Overdue),
 		checkDue:     time.NewTicker(max(f.options.CheckInterval, 1)),
@@ -93,14 +103,13 @@
 	r.checkOverdue.Stop()
 	if !f.listed {
 		r.checkDue.Stop()
-		r.start(f.list)
+		r.startList()
 		return r
 	}
 	if f.options.Check == nil {
 		r.checkDue.Stop()
 	}
-	r.overdue.Reset(f.options.Wait + f.options.Overdue)
-	r.start(func(ctx context.Context) result { return f.watch(ctx, r.revision) })
+	r.startWatch()
 	return r
 }
 
@@ -113,40 +122,88 @@
 // ends reports whether the result is that of the round, and records it.
 func (r *round) ends(result result) bool {
 	if result.call == checkCall {
-		r.checking = false
-		if result.err != nil {
-			// checkOverdue adds a list, as if there were no response.
-			return false
-		}
-		r.checkOverdue.Stop()
-		return len(result.batch.Objects) > 0
+		return r.checkEnds(result)
 	}
 	r.waiting = slices.DeleteFunc(r.waiting, func(c startedCall) bool { return c.id == result.id })
-	if result.err == nil {
-		r.noteResponse(r.started > 1 && result.call == listCall)
+	if result.err != nil {
+		return len(r.waiting) == 0
+	}
+	if result.call == watchCall {
+		r.noteResponse(false)
 		return true
 	}
-	return len(r.waiting) == 0
+	overtaken := r.late != ""
+	r.noteResponse(overtaken)
+	if !r.listed || result.batch.newerThan(r.from) {
+		return true
+	}
+	// The list shows nothing new, and a change may be on its way to the watch. The watch may also be
+	// dead, so another one starts beside it.
+	r.options.Progress.confirm(result, r.from)
+	r.late = ""
+	r.overdue.Reset(r.options.Wait + r.options.Overdue)
+	if overtaken {
+		r.startWatch()
+	}
+	return false
+}
+
+// checkEnds reports whether the result of a check is that of the round, and records it.
+func (r *round) checkEnds(result result) bool {
+	r.checking = false
+	if result.err != nil {
+		// checkOverdue adds a list, as if there were no response.
+		return false
+	}
+	r.checkOverdue.Stop()
+	if r.late == checkCall {
+		r.late = ""
+	}
+	return len(result.batch.Objects) > 0
 }
 
 // addList starts a list because another call got no response in time.
-func (r *round) addList(overdue callKind) {
-	r.noteOverdue(overdue)
-	r.start(r.list)
+func (r *round) addList(late callKind) {
+	r.noteOverdue(late)
+	r.late = late
 	r.overdue.Reset(2 * r.options.Overdue)
+	if r.count(listCall) < maxLists {
+		r.startList()
+	}
 }
 
-// start starts a list or a watch. It ends the oldest call if there are maxParallelCalls: none of them
-// may ever get a response, and a new one may.
-func (r *round) start(call func(context.Context) result) {
-	if len(r.waiting) == maxParallelCalls {
-		r.waiting[0].cancel()
-		r.waiting = r.waiting[1:]
+func (r *round) startList() {
+	r.start(listCall, func(ctx context.Context) result {
+		return r.list(ctx, func() { r.noteListBegan(ctx) })
+	})
+}
+
+// startWatch starts a watch. It ends the oldest one if there are maxWatches.
+func (r *round) startWatch() {
+	if r.count(watchCall) == maxWatches {
+		i := slices.IndexFunc(r.waiting, func(c startedCall) bool { return c.kind == watchCall })
+		r.waiting[i].cancel()
+		r.waiting = slices.Delete(r.waiting, i, i+1)
 	}
+	r.overdue.Reset(r.options.Wait + r.options.Overdue)
+	r.start(watchCall, func(ctx context.Context) result { return r.watch(ctx, r.from) })
+}
+
+func (r *round) count(kind callKind) int {
+	n := 0
+	for _, c := range r.waiting {
+		if c.kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *round) start(kind callKind, call func(context.Context) result) {
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.started++
 	id := r.started
-	r.waiting = append(r.waiting, startedCall{id: id, cancel: cancel})
+	r.waiting = append(r.waiting, startedCall{id: id, kind: kind, cancel: cancel})
 	go func() {
 		defer cancel()
 		result := call(ctx)
@@ -161,7 +218,7 @@
 	}
 	r.checking = true
 	r.checkOverdue.Reset(r.options.Overdue)
-	go func() { r.deliver(r.check(r.ctx, r.revision)) }()
+	go func() { r.deliver(r.check(r.ctx, r.from)) }()
 }
 
 // deliver passes on a result unless the round has ended.
@@ -172,11 +229,19 @@
 	}
 }
 
-func (f *follower) list(ctx context.Context) result {
+// noteListBegan tells the round that the response to a list has begun.
+func (r *round) noteListBegan(ctx context.Context) {
+	select {
+	case r.listBegan <- struct{}{}:
+	case <-ctx.Done():
+	}
+}
+
+func (f *follower) list(ctx context.Context, began func()) result {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
 	defer cancel()
 	r := result{call: listCall, started: time.Now()}
-	r.batch, r.err = f.source.List(ctx)
+	r.batch, r.err = f.source.List(ctx, began)
 	return r
 }
 
@@ -204,7 +269,8 @@
 // check asks for the changes after a revision that are known at once. Its result holds only newer
 // objects.
 func (f *follower) check(ctx context.Context, revision uint64) result {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
+	// A check without a response must not keep the next one from starting.
+	ctx, cancel := context.WithTimeout(ctx, f.options.CheckInterval)
 	defer cancel()
 	r := result{call: checkCall, started: time.Now()}
 	r.batch, r.err = f.options.Check.Watch(ctx, revision, 0)
@@ -226,8 +292,8 @@
 }
 
 // noteResponse is called at the response to a list or a watch. It raises the doubt if a list was
-// answered while an earlier call was not: other calls on connections that were open then may get no
-// response either.
+// answered and the call that it replaces is still not: other calls on connections that were open
+// then may get no response either.
 func (f *follower) noteResponse(overtaken bool) {
 	if overtaken && !f.doubted {
 		f.options.Doubt.raise()
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// follower is the state of one call of Follow.
+// follower is the state of one call of Follow. Its calls are in calls.go.
 type follower struct {
 	source  Source
 	options Options
--- a/watch/lostchange_test.go
+++ b/watch/lostchange_test.go
@@ -56,7 +56,7 @@
 // countingSource answers each call at once and without objects.
 type countingSource struct{ calls int }
 
-func (s *countingSource) List(context.Context) (Batch, error) {
+func (s *countingSource) List(context.Context, func()) (Batch, error) {
 	s.calls++
 	return Batch{Full: true, Revision: 1}, nil
 }
@@ -72,6 +72,6 @@
 	o := OptionsForMaxAge(maxAge, nil)
 	assert.Equal(t, o.Gap()+o.CheckInterval, 5*time.Second)
 	assert.Equal(t, o.Gap()+o.CheckInterval+o.Overdue, 6500*time.Millisecond)
-	assert.Assert(t, o.Gap()+o.CheckInterval+2*o.Overdue <= 8*time.Second)
+	assert.Assert(t, o.Gap()+o.CheckInterval+3*o.Overdue <= maxAge)
 	assert.Assert(t, o.Gap()+o.CheckInterval+o.MaxBackoff <= 8*time.Second)
 }
--- a/watch/progress.go
+++ b/watch/progress.go
@@ -7,9 +7,11 @@
 
 // Progress tells how far a follower has come, for logs and metrics. It is safe for concurrent use.
 type Progress struct {
-	mu          sync.Mutex
-	confirmedAt time.Time
-	state       ProgressState
+	mu sync.Mutex
+	// answeredAt is the start of the last call that got its response, confirmedAt that of the last
+	// one other than a check: checks may show an old state.
+	answeredAt, confirmedAt time.Time
+	state                   ProgressState
 }
 
 // ProgressState is the state of a Progress at one moment.
@@ -29,9 +31,17 @@
 }
 
 // NewProgress returns the progress of a follower that starts now.
-func NewProgress() *Progress { return &Progress{confirmedAt: time.Now()} }
+func NewProgress() *Progress { return &Progress{answeredAt: time.Now(), confirmedAt: time.Now()} }
 
-// Age returns the time since the start of the last call that succeeded.
+// SinceAnswer returns the time since the start of the last call that got its response.
+func (p *Progress) SinceAnswer() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.answeredAt)
+}
+
+// Age returns the time since the start of the last list or watch that got its response: the objects
+// are at least as new as the store was then.
 func (p *Progress) Age() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -58,7 +68,8 @@
 // confirm records a call that succeeded, and the revision that it led to. It does nothing on nil.
 func (p *Progress) confirm(r result, revision uint64) {
 	p.update(func(s *ProgressState) {
-		p.confirmedAt = r.started
+		p.confirmedAt = latest(p.confirmedAt, r.started)
+		p.answeredAt = latest(p.answeredAt, r.started)
 		s.Revision = revision
 		switch r.call {
 		case listCall:
@@ -72,7 +83,15 @@
 // checked records a check that got its response. It does nothing on nil.
 func (p *Progress) checked(started time.Time) {
 	p.update(func(s *ProgressState) {
-		p.confirmedAt = started
+		p.answeredAt = latest(p.answeredAt, started)
 		s.Checks++
 	})
 }
+
+// latest returns the later time. A watch may end after a check that started later.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,14 +34,19 @@
 	Revision uint64
 }
 
+// newerThan reports whether the batch holds an object that changed after a revision.
+func (b Batch) newerThan(revision uint64) bool {
+	return slices.ContainsFunc(b.Objects, func(o Object) bool { return o.Revision > revision })
+}
+
 // hasChanges reports whether the batch may change what its reader knows.
 func (b Batch) hasChanges() bool { return b.Full || len(b.Objects) > 0 }
 
 // Source reads the objects of one kind.
 type Source interface {
 	// List returns all objects. It uses a new connection, because one that is kept open may no
-	// longer carry responses.
-	List(ctx context.Context) (Batch, error)
+	// longer carry responses, and calls began when the response begins.
+	List(ctx context.Context, began func()) (Batch, error)
 	// Watch returns the changes after a revision as soon as there are any, or an empty batch
 	// when the wait ends. It returns ErrHistoryGone when the caller must list the objects again.
 	Watch(ctx context.Context, revision uint64, wait time.Duration) (Batch, error)
@@ -73,15 +79,18 @@
 
 // OptionsForMaxAge returns options with which every change is applied within maxAge while the store
 // answers new calls, whatever happens to one of the calls, connections and watches: it may get no
-// response, a late or an old one, or one that lacks the change. In the worst case a change falls
+// response, a late or an old one, or one that lacks the change. (A list is trusted: the store shows
+// its newest state there.) In the worst case a change falls
 // into the gap after another change and the watch does not bring it, so that a check does; or the
 // check gets no response either, so that a list does:
 //
 //	Gap + CheckInterval + duration of a check          = 0.5 maxAge + duration of a check
 //	Gap + CheckInterval + Overdue + duration of a list = 0.65 maxAge + duration of a list
 //
-// Checks may show an old state. If they do while the watch gets no response, a change is applied
-// after Gap + Wait + Overdue + duration of a list.
+// A list without a response is joined by another one after 2 Overdue. Checks may show an old state: if
+// they lag while the watch gets no response, a change takes as long as they lag, and at most
+// Gap + Wait + Overdue + duration of a list = 2.35 maxAge + duration of a list. Watches that wait
+// for less than maxAge would do without this exception, at several times the number of calls.
 func OptionsForMaxAge(maxAge time.Duration, check Source) Options {
 	share := func(x float64) time.Duration { return time.Duration(x * float64(maxAge)) }
 	return Options{
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -44,7 +44,9 @@
 	return r.batch, r.err
 }
 
-func (s *scriptedSource) List(ctx context.Context) (Batch, error) { return s.next(ctx, "list") }
+func (s *scriptedSource) List(ctx context.Context, _ func()) (Batch, error) {
+	return s.next(ctx, "list")
+}
 
 func (s *scriptedSource) Watch(ctx context.Context, revision uint64, _ time.Duration) (Batch, error) {
 	return s.next(ctx, "watch "+string(rune('0'+revision)))
@@ -112,7 +114,7 @@
 	return s.silent, s.value, s.gone
 }
 
-func (s *silentStore) List(ctx context.Context) (Batch, error) {
+func (s *silentStore) List(ctx context.Context, _ func()) (Batch, error) {
 	silent, value, _ := s.state()
 	if silent {
 		<-ctx.Done()
