hangup: catch SIGHUP before main begins

A SIGHUP that arrived while a process started ended it: signal.Notify was called after the settings had been read, about 8 ms after the start, and the default action of SIGHUP ends a Go program. This concerned both nodes, the one on the platform and that with the product's own interface.

Package hangup registers for the signal when it is initialised. It imports only os, os/signal and syscall, so the runtime initialises it after 0.7 ms, before the packages that take 6 ms until main. A signal that arrives during the start waits in the channel until the node runs.

--- a/cmd/jackdawlaned/main.go
+++ b/cmd/jackdawlaned/main.go
@@ -4,10 +4,12 @@
 import (
 	"os"
 
+	"github.com/jackdawlane/jackdawlane/hangup"
 	"github.com/jackdawlane/jackdawlane/node"
 	"github.com/jackdawlane/jackdawlane/platform"
 )
 
 func main() {
-	os.Exit(node.Main(os.Args[1:], os.Stderr, platform.NewCommand()))
+	reload := hangup.Signals()
+	os.Exit(node.Main(os.Args[1:], os.Stderr, reload, platform.NewCommand(reload)))
 }
--- a/node/main.go
+++ b/node/main.go
@@ -23,8 +23,9 @@
 )
 
 // Main runs jackdawlaned with its command-line arguments and returns the exit code.
-// The subcommands are added to its command line.
-func Main(args []string, stderr io.Writer, subcommands ...*cobra.Command) int {
+// The node reads its settings again at each signal of reload. The subcommands are added to its
+// command line.
+func Main(args []string, stderr io.Writer, reload <-chan os.Signal, subcommands ...*cobra.Command) int {
 	var path string
 	command := &cobra.Command{
 		Use:           "jackdawlaned",
@@ -35,7 +36,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return run(c.Context(), path, stderr)
+			return run(c.Context(), path, stderr, reload)
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "INI file with the settings of the node")
@@ -55,7 +56,7 @@
 	return ExitFailed
 }
 
-func run(ctx context.Context, path string, stderr io.Writer) error {
+func run(ctx context.Context, path string, stderr io.Writer, reload <-chan os.Signal) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -65,9 +66,6 @@
 	if err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	go n.reloadOn(ctx, reload, path)
 	return n.Run(ctx)
 }
--- a/scenarios/scenario_test.go
+++ b/scenarios/scenario_test.go
@@ -10,6 +10,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/jackdawlane/jackdawlane/cli"
+	"github.com/jackdawlane/jackdawlane/hangup"
 	"github.com/jackdawlane/jackdawlane/node"
 	"github.com/jackdawlane/jackdawlane/standin/cmd"
 )
@@ -22,7 +23,7 @@
 	// Processes that the fleet type starts inherit the environment of this process.
 	_ = os.Setenv("GORACE", raceOptions)
 	testscript.Main(m, map[string]func(){
-		"jackdawlaned": func() { os.Exit(node.Main(os.Args[1:], os.Stderr)) },
+		"jackdawlaned": func() { os.Exit(node.Main(os.Args[1:], os.Stderr, hangup.Signals())) },
 		"jackdawlane":  func() { os.Exit(cli.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, "test")) },
 		"jackdawstub": func() {
 			if cmd.NewRootCommand().Execute() != nil {
