guard: acknowledge idempotent attempts with a body

Callers of idempotent routes whose request had a body of up to 64 KB, or an empty one in chunks, got 502 (answer-lost) whenever the work took longer than 0.4 s: the guard acknowledged only attempts of Content-Length 0 and those that wait for 100 Continue, and the entry gives up an attempt that is not acknowledged in time. Work that must not repeat and had an empty body in chunks was not acknowledged either; its answer was fetched from the guard.

The guard now acknowledges every attempt that does not wait for 100 Continue, by 102, whatever the framing and the length of its body.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -173,7 +173,8 @@
 }
 
 func (g *Guard) serve(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, r *http.Request, req attemptRequest) {
-	if g.config.Acknowledge && r.ContentLength == 0 {
+	if g.config.Acknowledge && r.Header.Get("Expect") == "" {
+		// Otherwise the 100 Continue that asks for the body acknowledges the attempt.
 		w.WriteHeader(hop.StatusAcknowledged)
 	}
 	body, err := readBody(r)
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -52,8 +52,8 @@
 	HeaderGrant = "Jackdawlane-Grant"
 )
 
-// StatusAcknowledged is the informational status with which a guard acknowledges an
-// attempt without a body. An attempt with a body is acknowledged by asking for the body.
+// StatusAcknowledged is the informational status with which a guard acknowledges an attempt that
+// does not wait for 100 Continue. Any other attempt is acknowledged by asking for its body.
 const StatusAcknowledged = http.StatusProcessing
 
 // Repeat states how an attempt counts against the repeat budget.
