--- a/directory/directory.go
+++ b/directory/directory.go
@@ -105,13 +105,15 @@
 	loaded  bool
 	view    atomic.Pointer[membership.View]
 	nodes   atomic.Int64
-	// onRejected is called for each object that is not a valid record.
+	// rejected holds the revisions of the objects that are not valid records, by name.
+	rejected map[string]uint64
+	// onRejected is called once for each revision of an object that is not a valid record.
 	onRejected func(name string, err error)
 }
 
 // New returns an empty directory.
 func New(onRejected func(name string, err error)) *Directory {
-	d := &Directory{records: make(map[string]storedRecord), onRejected: onRejected}
+	d := &Directory{records: make(map[string]storedRecord), rejected: make(map[string]uint64), onRejected: onRejected}
 	d.view.Store(membership.NewView(nil))
 	return d
 }
@@ -137,6 +139,7 @@
 	defer d.mu.Unlock()
 	if b.Full {
 		d.records = make(map[string]storedRecord, len(b.Objects))
+		d.rejected = keepNames(d.rejected, b.Objects)
 		d.loaded = true
 	}
 	for _, o := range b.Objects {
@@ -148,16 +151,46 @@
 func (d *Directory) apply(o watch.Object) {
 	delete(d.records, o.Name)
 	if o.Deleted {
+		delete(d.rejected, o.Name)
 		return
 	}
-	r, err := Decode(o.Value)
+	r, err := decodeObject(o)
 	if err != nil {
-		d.onRejected(o.Name, err)
+		d.reject(o, err)
 		return
 	}
+	delete(d.rejected, o.Name)
 	d.records[o.Name] = storedRecord{Record: r, revision: o.Revision}
 }
 
+// keepNames returns the entries of m whose names the objects have.
+func keepNames(m map[string]uint64, objects []watch.Object) map[string]uint64 {
+	kept := make(map[string]uint64)
+	for _, o := range objects {
+		if revision, found := m[o.Name]; found {
+			kept[o.Name] = revision
+		}
+	}
+	return kept
+}
+
+// decodeObject decodes the record in an object. The name of a record is that of its node.
+func decodeObject(o watch.Object) (Record, error) {
+	if !route.ValidName(o.Name) {
+		return Record{}, errors.Wrap(ErrRecord, "name is not that of a node")
+	}
+	return Decode(o.Value)
+}
+
+// reject reports an object that is not a valid record, unless it has been reported.
+func (d *Directory) reject(o watch.Object, err error) {
+	if revision, reported := d.rejected[o.Name]; reported && revision == o.Revision && revision != 0 {
+		return
+	}
+	d.rejected[o.Name] = o.Revision
+	d.onRejected(o.Name, err)
+}
+
 // publish replaces the view by one of the current records. If two nodes have the same
 // address, the record that was written last counts: the other node was lost without
 // deleting its record, and its address was assigned again.
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -114,6 +114,9 @@
 		f.logger.Info("store regained", "after_ms", time.Since(f.lostAt).Milliseconds(), "revision", r.batch.Revision)
 		f.lostAt = time.Time{}
 	}
+	if r.batch.Unreadable > 0 {
+		f.logger.Warn("objects ignored", "count", r.batch.Unreadable, "revision", r.batch.Revision)
+	}
 	if r.batch.hasChanges() {
 		f.logger.Info("objects read", "call", r.call, "from", from, "revision", r.batch.Revision,
 			"objects", len(r.batch.Objects), "after_ms", time.Since(r.started).Milliseconds())
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -30,6 +30,8 @@
 	// Full is set when Objects holds all objects that exist. Otherwise it holds only changed ones.
 	Full    bool
 	Objects []Object
+	// Unreadable is the number of further objects whose names cannot be read.
+	Unreadable int
 	// Revision is the revision of the store whose state is reached when the batch is applied.
 	Revision uint64
 }
