exchange: a request without a body does not cancel the later ones on its connection

Idempotent requests failed with 502 or 503 and reason cancelled although nobody had cancelled them, one after the other on the same hop connection. When a backend server answers before the transport has read the empty body of a request, the guard interrupts that read by a read deadline in the past. The read from the connection that net/http keeps in the background then fails, and net/http cancels the contexts of all later requests on the connection.

An empty body is never read from the connection, so there is nothing to interrupt.

--- a/exchange/request.go
+++ b/exchange/request.go
@@ -26,7 +26,7 @@
 	readFailed atomic.Bool
 	// started is set by the first Read.
 	started atomic.Bool
-	// inMemory is set when the reader does not read from a connection.
+	// inMemory is set when the reader does not read from a connection, also because the body is empty.
 	inMemory bool
 }
 
@@ -75,7 +75,8 @@
 
 // Interrupt ends a Read in progress of a body that comes from the connection of w and
 // has not been read to its end. It does nothing for a body in memory, which needs no
-// interruption, because the connection of w must stay usable for another attempt.
+// interruption, because the connection of w must stay usable for another attempt. net/http
+// cancels the contexts of all later requests on a connection after a failed read.
 func (b *Body) Interrupt(w http.ResponseWriter) {
 	if !b.inMemory && !b.ended.Load() {
 		http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
@@ -97,7 +98,7 @@
 	out.GetBody = nil
 	out.Trailer = forwardedTrailerNames(in.Trailer, endToEnd)
 	_, inMemory := body.(*bytes.Reader)
-	wrapped := &Body{reader: body, inMemory: inMemory, atEOF: func() { copyValues(out.Trailer, in.Trailer) }}
+	wrapped := &Body{reader: body, inMemory: inMemory || in.ContentLength == 0, atEOF: func() { copyValues(out.Trailer, in.Trailer) }}
 	out.Body = wrapped
 	if in.ContentLength == 0 {
 		// Without this a POST with an empty body would be sent chunked.
