--- a/exchange/interrupt_test.go
+++ b/exchange/interrupt_test.go
@@ -19,7 +19,7 @@
 			return
 		}
 		// As after an answer that came before the transport has read the empty body.
-		_, body := NewRequest(r.Context(), r, "127.0.0.1:1", r.Body)
+		_, body := NewRequest(r.Context(), r, "127.0.0.1:1", r.Body, nil)
 		body.Interrupt(w)
 		time.Sleep(20 * time.Millisecond)
 		body.Close()
