watch: a failed watch is replaced also while a list answers, and a check confirms nothing

And a check that brought a change counted in config_age_ms, which leaves checks out because they may show an old state.

TestFailedWatchIsReplacedAfterListWithoutNews ('1 != 2' watches) and TestCheckIsNoConfirmation ('p.Age() is less than time.Hour') failed before. The doc of OptionsForMaxAge is shorter, and the field call of a result is now kind, as in startedCall.

--- a/watch/calls.go
+++ b/watch/calls.go
@@ -26,7 +26,7 @@
 // result is the outcome of one call to the source.
 type result struct {
 	id      int
-	call    callKind
+	kind    callKind
 	batch   Batch
 	err     error
 	started time.Time
@@ -121,14 +121,14 @@
 
 // ends reports whether the result is that of the round, and records it.
 func (r *round) ends(result result) bool {
-	if result.call == checkCall {
+	if result.kind == checkCall {
 		return r.checkEnds(result)
 	}
 	r.waiting = slices.DeleteFunc(r.waiting, func(c startedCall) bool { return c.id == result.id })
 	if result.err != nil {
 		return len(r.waiting) == 0
 	}
-	if result.call == watchCall {
+	if result.kind == watchCall {
 		r.noteResponse(false)
 		return true
 	}
@@ -137,12 +137,12 @@
 	if !r.listed || result.batch.newerThan(r.from) {
 		return true
 	}
-	// The list shows nothing new, and a change may be on its way to the watch. The watch may also be
-	// dead, so another one starts beside it.
+	// The list shows nothing new, and a change may be on its way to the watch. The watch may have failed
+	// or be dead, so another one starts.
 	r.options.Progress.confirm(result, r.from)
 	r.late = ""
 	r.overdue.Reset(r.options.Wait + r.options.Overdue)
-	if overtaken {
+	if overtaken || r.count(watchCall) == 0 {
 		r.startWatch()
 	}
 	return false
@@ -240,7 +240,7 @@
 func (f *follower) list(ctx context.Context, began func()) result {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
 	defer cancel()
-	r := result{call: listCall, started: time.Now()}
+	r := result{kind: listCall, started: time.Now()}
 	r.batch, r.err = f.source.List(ctx, began)
 	return r
 }
@@ -258,7 +258,7 @@
 		case <-ended:
 		}
 	}()
-	r := result{call: watchCall, started: time.Now()}
+	r := result{kind: watchCall, started: time.Now()}
 	r.batch, r.err = f.source.Watch(ctx, revision, f.options.Wait)
 	if errors.Is(ctx.Err(), context.Canceled) && r.err != nil {
 		r.err = errors.CombineErrors(errDoubted, r.err)
@@ -272,7 +272,7 @@
 	// A check without a response must not keep the next one from starting.
 	ctx, cancel := context.WithTimeout(ctx, f.options.CheckInterval)
 	defer cancel()
-	r := result{call: checkCall, started: time.Now()}
+	r := result{kind: checkCall, started: time.Now()}
 	r.batch, r.err = f.options.Check.Watch(ctx, revision, 0)
 	if r.err == nil {
 		f.options.Progress.checked(r.started)
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -41,9 +41,9 @@
 	// list.
 	listed   bool
 	revision uint64
-	// shown is the revision that the last response claims to show. The next watch does not
-	// continue from it, but from the one before: a response may lack a change, and the next one
-	// then brings it.
+	// shown is the revision that the last response claims to show. The next watch continues from the
+	// one claimed before, or from the newest object received: a response without objects may lack a
+	// change, and the next one then brings it.
 	shown   uint64
 	backoff time.Duration
 	// lostAt is the time of the first of the failed calls in a row; zero if the last call succeeded.
@@ -84,7 +84,7 @@
 		f.revision, f.shown = b.Revision, b.Revision
 		return
 	}
-	if r.call == watchCall {
+	if r.kind == watchCall {
 		f.revision = max(f.revision, f.shown)
 	}
 	for _, o := range b.Objects {
@@ -106,7 +106,7 @@
 	if isTimeout(r.err) {
 		f.options.Doubt.raise()
 	}
-	f.logger.Warn("store lost", "call", r.call, "from", from, "after_ms", time.Since(r.started).Milliseconds(), "err", r.err.Error())
+	f.logger.Warn("store lost", "call", r.kind, "from", from, "after_ms", time.Since(r.started).Milliseconds(), "err", r.err.Error())
 }
 
 func (f *follower) logSuccess(r result, from uint64) {
@@ -115,10 +115,10 @@
 		f.lostAt = time.Time{}
 	}
 	if r.batch.Unreadable > 0 {
-		f.logger.Warn("objects ignored", "count", r.batch.Unreadable, "revision", r.batch.Revision)
+		f.logger.Warn("objects without a usable name ignored", "count", r.batch.Unreadable, "revision", r.batch.Revision)
 	}
 	if r.batch.hasChanges() {
-		f.logger.Info("objects read", "call", r.call, "from", from, "revision", r.batch.Revision,
+		f.logger.Info("objects read", "call", r.kind, "from", from, "revision", r.batch.Revision,
 			"objects", len(r.batch.Objects), "after_ms", time.Since(r.started).Milliseconds())
 	}
 }
--- a/watch/lostchange_test.go
+++ b/watch/lostchange_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -75,3 +76,68 @@
 	assert.Assert(t, o.Gap()+o.CheckInterval+3*o.Overdue <= maxAge)
 	assert.Assert(t, o.Gap()+o.CheckInterval+o.MaxBackoff <= 8*time.Second)
 }
+
+// lateCheckSource shows nothing new. Its first check is late, and its first watch fails while a list
+// replaces the check.
+type lateCheckSource struct {
+	mu      sync.Mutex
+	watches []time.Time
+	checks  int
+	listing chan struct{}
+	failed  chan struct{}
+}
+
+func (s *lateCheckSource) List(context.Context, func()) (Batch, error) {
+	s.mu.Lock()
+	first := len(s.watches) == 0
+	s.mu.Unlock()
+	if !first {
+		close(s.listing)
+		<-s.failed
+		time.Sleep(20 * time.Millisecond)
+	}
+	return Batch{Full: true, Revision: 1}, nil
+}
+
+func (s *lateCheckSource) Watch(ctx context.Context, _ uint64, wait time.Duration) (Batch, error) {
+	if wait == 0 {
+		<-s.listing
+		return Batch{Revision: 1}, nil
+	}
+	s.mu.Lock()
+	s.watches = append(s.watches, time.Now())
+	n := len(s.watches)
+	s.mu.Unlock()
+	if n > 1 {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	<-s.listing
+	time.Sleep(20 * time.Millisecond)
+	close(s.failed)
+	return Batch{}, errors.New("failed")
+}
+
+// Guards against a follower without a watch after the watch failed while a list replaced a late check.
+func TestFailedWatchIsReplacedAfterListWithoutNews(t *testing.T) {
+	s := &lateCheckSource{listing: make(chan struct{}), failed: make(chan struct{})}
+	o := OptionsForMaxAge(time.Second, s)
+	go Follow(t.Context(), "kind", s, o, log.New(io.Discard), func(Batch) {})
+	<-s.failed
+	time.Sleep(o.CheckInterval)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, len(s.watches), 2)
+}
+
+// Guards against a check, which may show an old state, that counts as a confirmation of the newest one.
+func TestCheckIsNoConfirmation(t *testing.T) {
+	p := NewProgress()
+	p.confirmedAt, p.answeredAt = time.Now().Add(-time.Hour), time.Now().Add(-time.Hour)
+	p.confirm(result{kind: checkCall, started: time.Now()}, 2)
+	assert.Assert(t, p.Age() >= time.Hour)
+	assert.Assert(t, p.SinceAnswer() < time.Minute)
+	p.confirm(result{kind: watchCall, started: time.Now().Add(-time.Minute)}, 2)
+	assert.Assert(t, p.Age() < 2*time.Minute)
+	assert.Assert(t, p.SinceAnswer() < time.Minute, "a watch that started before the check moved the time back")
+}
--- a/watch/progress.go
+++ b/watch/progress.go
@@ -68,10 +68,12 @@
 // confirm records a call that succeeded, and the revision that it led to. It does nothing on nil.
 func (p *Progress) confirm(r result, revision uint64) {
 	p.update(func(s *ProgressState) {
-		p.confirmedAt = latest(p.confirmedAt, r.started)
+		if r.kind != checkCall {
+			p.confirmedAt = latest(p.confirmedAt, r.started)
+		}
 		p.answeredAt = latest(p.answeredAt, r.started)
 		s.Revision = revision
-		switch r.call {
+		switch r.kind {
 		case listCall:
 			s.Lists++
 		case watchCall:
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -30,7 +30,7 @@
 	// Full is set when Objects holds all objects that exist. Otherwise it holds only changed ones.
 	Full    bool
 	Objects []Object
-	// Unreadable is the number of further objects whose names cannot be read.
+	// Unreadable is the number of further objects without a usable name.
 	Unreadable int
 	// Revision is the revision of the store whose state is reached when the batch is applied.
 	Revision uint64
@@ -80,19 +80,16 @@
 }
 
 // OptionsForMaxAge returns options with which every change is applied within maxAge while the store
-// answers new calls, whatever happens to one of the calls, connections and watches: it may get no
-// response, a late or an old one, or one that lacks the change. (A list is trusted: the store shows
-// its newest state there.) In the worst case a change falls
-// into the gap after another change and the watch does not bring it, so that a check does; or the
-// check gets no response either, so that a list does:
+// answers new calls, even if a call gets no response, a late or an old one, or one without the change.
+// A list is trusted to show the newest state. The worst cases are a change during the gap that the
+// watch does not bring, so that a check or, if that gets no response, a list does:
 //
 //	Gap + CheckInterval + duration of a check          = 0.5 maxAge + duration of a check
 //	Gap + CheckInterval + Overdue + duration of a list = 0.65 maxAge + duration of a list
 //
-// A list without a response is joined by another one after 2 Overdue. Checks may show an old state: if
-// they lag while the watch gets no response, a change takes as long as they lag, and at most
-// Gap + Wait + Overdue + duration of a list = 2.35 maxAge + duration of a list. Watches that wait
-// for less than maxAge would do without this exception, at several times the number of calls.
+// A list without a response is joined by another one after 2 Overdue. The bound does not hold while
+// checks show an old state and the watch gets no response. A change then takes at most
+// Gap + Wait + Overdue + duration of a list = 2.35 maxAge + duration of a list.
 func OptionsForMaxAge(maxAge time.Duration, check Source) Options {
 	share := func(x float64) time.Duration { return time.Duration(x * float64(maxAge)) }
 	return Options{
