guard: a stopped guard counts no refused attempt against the budget of repeats

An attempt that the stop drops from the queue was counted as dispatched before it was refused, and could use up a repeat. Found by reading; no test of its own.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -199,14 +199,14 @@
 	if req.idempotent {
 		defer context.AfterFunc(r.Context(), cancel)()
 	}
-	if !g.countDispatch(req) {
-		g.refuse(w, req, hop.ReasonRetryBudget)
-		return
-	}
 	if queueCtx.Err() != nil {
 		g.refuse(w, req, reasonOf(queueCtx))
 		return
 	}
+	if !g.countDispatch(req) {
+		g.refuse(w, req, hop.ReasonRetryBudget)
+		return
+	}
 	if !g.attempts.dispatch(req.id) {
 		g.refuse(w, req, hop.ReasonCancelled)
 		return
