--- a/entry/body.go
+++ b/entry/body.go
@@ -39,7 +39,8 @@
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
 	rest := &stallReader{reader: r.Body, controller: http.NewResponseController(w), timeout: stall, stop: stop}
-	defer context.AfterFunc(stop.waits, rest.interrupt)()
+	unregister := context.AfterFunc(stop.waits, rest.interrupt)
+	defer unregister()
 	var prefix bytes.Buffer
 	n, err := io.Copy(&prefix, io.LimitReader(rest, maxReplayableBytes+1))
 	if errors.Is(err, os.ErrDeadlineExceeded) && stop.waitsEnded() {
@@ -54,6 +55,7 @@
 	if err != nil {
 		return nil, NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "the request body is malformed or broke off")
 	}
+	unregister()
 	if n <= maxReplayableBytes {
 		rest.controller.SetReadDeadline(time.Time{})
 		return &body{prefix: prefix.Bytes()}, nil
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -22,11 +22,11 @@
 	Waits time.Time
 	// Attempts is the time at which attempts without a complete answer are given up.
 	Attempts time.Time
-	// Replies is the time by which every caller gets its reply.
+	// Replies is the deadline of the queries for the state of attempts that were given up.
 	Replies time.Time
 }
 
-// stop is the state of a planned stop. Before AnnounceStop neither context ends.
+// stop is the state of a planned stop. Before ScheduleStop neither context ends.
 type stop struct {
 	times    atomic.Pointer[StopTimes]
 	once     sync.Once
@@ -43,8 +43,8 @@
 	return s
 }
 
-// AnnounceStop sets the times at which waits and attempts end. Only the first call has an effect.
-func (e *Entry) AnnounceStop(t StopTimes) {
+// ScheduleStop sets the times at which waits and attempts end. Only the first call has an effect.
+func (e *Entry) ScheduleStop(t StopTimes) {
 	e.stop.once.Do(func() {
 		e.stop.times.Store(&t)
 		time.AfterFunc(time.Until(t.Waits), e.stop.endWaits)
@@ -52,8 +52,8 @@
 	})
 }
 
-// Stop makes the entry refuse new requests from now on.
-func (e *Entry) Stop() { e.stop.refusing.Store(true) }
+// RefuseNew makes the entry refuse new requests from now on.
+func (e *Entry) RefuseNew() { e.stop.refusing.Store(true) }
 
 // waitsEnded reports whether no request may wait or begin another attempt any more.
 func (s *stop) waitsEnded() bool { return s.waits.Err() != nil }
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -131,7 +131,7 @@
 func (c *conn) startWrite(first bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writesStopped || first && !silent(c.raw) {
+	if c.writesStopped || first && !hasNoInput(c.raw) {
 		c.writesStopped = true
 		return false
 	}
@@ -147,9 +147,8 @@
 	return c.writesAtRead <= writes
 }
 
-// ReadFrom copies r through a pooled buffer and counts each write. Without this method
-// net/http copies request bodies, even empty ones, through a new buffer of 32 KB; these
-// buffers were 73 % of the memory that a node allocated.
+// ReadFrom copies r through a pooled buffer and counts each write. Without this method net/http copies
+// request bodies, even empty ones, through a new buffer of 32 KB.
 func (c *conn) ReadFrom(r io.Reader) (int64, error) {
 	buffer := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buffer)
@@ -253,8 +252,8 @@
 }
 
 // Do sends req, which must come from NewRequest. on1xx receives informational responses.
-// The next request on its connection is sent after the body of the response was read from or
-// closed. A response that began before the request was sent belongs to no request.
+// The connection carries its next request only once the body of the response is read from or closed.
+// A response that began before the request was sent, or whose status is not final, is an error.
 // An error is marked ErrNoResponse; sent is then false only when the receiver cannot act
 // on the request: no byte of it was or can be sent, or it has an Expect header and none
 // of its body was or can be sent.
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -83,9 +83,9 @@
 	}
 }
 
-// NewRequest returns a copy of in that goes to address with the given body and the same target,
-// without the headers that apply to a single connection; those in endToEnd never do. in must have
-// a Target, and body must be as long as the body of in.
+// NewRequest returns a copy of in for address, with the given body and the same target. It drops the
+// headers that apply to a single connection, but keeps those in endToEnd. in must have a Target, and
+// body must be as long as the body of in.
 func NewRequest(ctx context.Context, in *http.Request, address string, body io.Reader, endToEnd []string) (*http.Request, *Body) {
 	out := in.Clone(ctx)
 	target, _ := Target(in)
--- a/exchange/silent.go
+++ b/exchange/silent.go
@@ -16,12 +16,17 @@
 	}
 }
 
-// silent reports whether the connection is open and holds no bytes that wait to be read. It does
+// hasNoInput reports whether the connection is open and holds no bytes that wait to be read. It does
 // not wait for a Read in progress.
-func silent(c syscall.RawConn) bool {
+func hasNoInput(c syscall.RawConn) bool {
 	var received error
 	err := c.Control(func(fd uintptr) {
-		_, _, received = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		for {
+			_, _, received = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			if received != unix.EINTR {
+				return
+			}
+		}
 	})
-	return err == nil && (received == unix.EAGAIN || received == unix.EINTR)
+	return err == nil && received == unix.EAGAIN
 }
--- a/exchange/target.go
+++ b/exchange/target.go
@@ -6,9 +6,9 @@
 	"strings"
 )
 
-// Target returns the path and the query of a request exactly as its sender wrote them, which
-// r.URL does not tell. It returns false if the request target has no path, as "mailto:x", or
-// cannot be sent on unchanged.
+// Target returns the path and the query of a request exactly as its sender wrote them; r.URL may hold
+// them decoded. It returns false if the target has no path, such as "mailto:x", or cannot be sent
+// unchanged.
 func Target(r *http.Request) (string, bool) {
 	target, ok := originForm(r)
 	// An HTTP/2 request can have a space in its target.
--- a/hangup/hangup.go
+++ b/hangup/hangup.go
@@ -8,8 +8,8 @@
 	"syscall"
 )
 
-// signals holds one signal, because several ones that arrive before the settings are read again ask
-// for the same.
+// signals holds one signal. Further ones that arrive before the settings are read again would ask for
+// the same.
 var signals = make(chan os.Signal, 1)
 
 // The default action of SIGHUP ends the process, and the packages of a node take milliseconds to
--- a/presence/foreign_test.go
+++ b/presence/foreign_test.go
@@ -41,7 +41,7 @@
 
 // Guards against a process that stays out until its next start, because an announcement of another
 // writer or of an earlier process made its heartbeats stale.
-func TestProcessThatGoesOnComesBack(t *testing.T) {
+func TestStillSendingProcessBecomesPresent(t *testing.T) {
 	const far = 1 << 60
 	ready, leaving := membership.StateReady, membership.StateLeaving
 	for _, c := range []struct {
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -67,8 +67,9 @@
 	at   time.Time
 }
 
-// rival is a process that sends heartbeats although they are stale.
-type rival struct {
+// candidate is the process of the latest stale heartbeat. Another one with a higher sequence shows
+// that the process is still there.
+type candidate struct {
 	process
 	sequence int64
 	at       time.Time
@@ -76,20 +77,21 @@
 
 // Tracker holds the latest state of the backend server of a node.
 //
-// An announcement may come from another writer, or be one of an earlier process with the same
-// instance, and make the heartbeats of the present process stale. A process is therefore taken for
-// present again when its ready heartbeats go on: after two of them with rising sequences since the
-// latest heartbeat that was not stale. They do not count within MaxDelay after the process or a later one of its instance announced that it leaves, when they may be late, and within
-// MaxDelay after a heartbeat of another process that has sent at least two.
+// A departure or a later start may have been announced by another writer, or by an earlier process
+// with the same instance, and makes the heartbeats of the present process stale. The process counts as
+// present again after two stale ready heartbeats with rising sequences and no other heartbeat accepted
+// between them. They do not count, because they may be late,
+//   - within MaxDelay after the process, or a later one of its instance, announced that it leaves, and
+//   - within MaxDelay after a heartbeat of another process that has sent at least two.
 type Tracker struct {
 	// known is set while last describes a process that has not left.
 	known bool
 	last  Heartbeat
 	// lastAt is the arrival time of last; count is the number of heartbeats of its process.
-	lastAt   time.Time
-	count    int
-	departed []departure
-	rival    rival
+	lastAt    time.Time
+	count     int
+	departed  []departure
+	candidate candidate
 }
 
 // Last returns the latest heartbeat that was not stale. It returns false before the first
@@ -99,7 +101,7 @@
 // Handle updates the state with a heartbeat that arrives now and returns what the heartbeat
 // changed.
 func (t *Tracker) Handle(h Heartbeat, now time.Time) Effect {
-	if t.isStale(h) && !t.goesOn(h, now) {
+	if t.isStale(h) && !t.isStillSending(h, now) {
 		if h.State == membership.StateLeaving {
 			// The heartbeat is acknowledged, and that is binding.
 			t.addDeparted(departure{h.process(), true, now})
@@ -125,16 +127,16 @@
 	return t.known && h.StartTimeMS < t.last.StartTimeMS
 }
 
-// goesOn reports whether a stale heartbeat shows that its process is still there.
-func (t *Tracker) goesOn(h Heartbeat, now time.Time) bool {
+// isStillSending reports whether a stale heartbeat shows that its process is still there.
+func (t *Tracker) isStillSending(h Heartbeat, now time.Time) bool {
 	if h.State != membership.StateReady || t.mayBeLate(h.process(), now) {
 		return false
 	}
-	if t.rival.process != h.process() || h.Sequence <= t.rival.sequence {
-		t.rival = rival{h.process(), h.Sequence, now}
+	if t.candidate.process != h.process() || h.Sequence <= t.candidate.sequence {
+		t.candidate = candidate{h.process(), h.Sequence, now}
 		return false
 	}
-	return now.Sub(t.rival.at) >= minSpacing
+	return now.Sub(t.candidate.at) >= minSpacing
 }
 
 // mayBeLate reports whether stale heartbeats of a process are most likely late ones.
@@ -161,7 +163,7 @@
 		t.addDeparted(departure{old.process(), left, t.lastAt})
 	}
 	t.departed = slices.DeleteFunc(t.departed, func(d departure) bool { return d.covers(h.process()) })
-	t.known, t.last, t.lastAt, t.rival = true, h, now, rival{}
+	t.known, t.last, t.lastAt, t.candidate = true, h, now, candidate{}
 	if !same {
 		t.count = 0
 	}
