--- a/watch/lostchange_test.go
+++ b/watch/lostchange_test.go
@@ -82,7 +82,6 @@
 type lateCheckSource struct {
 	mu      sync.Mutex
 	watches []time.Time
-	checks  int
 	listing chan struct{}
 	failed  chan struct{}
 }
