--- a/watch/follow.go
+++ b/watch/follow.go
@@ -91,6 +91,10 @@
 		f.revision = max(f.revision, o.Revision)
 	}
 	f.shown = max(f.shown, b.Revision)
+	if b.Unreadable > 0 {
+		// The next watch would bring the unreadable objects again.
+		f.revision = f.shown
+	}
 }
 
 // fail records a failed call. A watch that starts while the store drops history may miss earlier
--- a/watch/lostchange_test.go
+++ b/watch/lostchange_test.go
@@ -44,6 +44,16 @@
 	assert.DeepEqual(t, calls, []string{"list", "watch 3", "watch 3", "watch 5"})
 }
 
+// Guards against objects without a usable name that are read and logged again and again.
+func TestRevisionMovesPastUnreadableObjects(t *testing.T) {
+	calls := follow(t,
+		response{batch: Batch{Full: true, Revision: 3}},
+		response{batch: Batch{Revision: 5, Unreadable: 1}},
+		response{batch: Batch{Revision: 5}},
+	)
+	assert.DeepEqual(t, calls, []string{"list", "watch 3", "watch 5", "watch 5"})
+}
+
 // Guards against calls without a pause to a store that does not wait for changes.
 func TestEmptyResponsesAreNotReadInALoop(t *testing.T) {
 	s := &countingSource{}
