linger: a broken answer to HTTP/1.0 is reset, not ended like a whole one

What callers saw: a caller of HTTP/1.0 takes the end of the connection for the end of an answer without a length. An answer that the backend server broke off, or that a kill of the process cut, looked complete: 524,433 bytes of it, without an error.

Cause: a broken answer ends with a close, which HTTP/1.1 tells from the end of a chunked answer and HTTP/1.0 does not. A connection with an unread body was even closed with a lingering close.

Why the fix works: from the start of the handler to its return the socket is set to reset when it is closed, whoever closes it, the operating system included. After the return the default is set again, so that a whole answer is delivered before the close (TestWholeAnswerReachesHTTP10).

The own interface is tested for unread bodies too; the fault was not shown there.

--- a/linger/conn.go
+++ b/linger/conn.go
@@ -32,7 +32,17 @@
 	// ending is set when the server is to read no further byte, because the connection holds an
 	// unread body.
 	ending bool
-	once   sync.Once
+	// unfinished is set while the connection carries an answer whose end its close would feign.
+	unfinished bool
+	once       sync.Once
+}
+
+// setUnfinished makes every close reset the connection, or ends that.
+func (c *conn) setUnfinished(unfinished bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unfinished = unfinished
+	resetOnClose(c.Conn, unfinished)
 }
 
 // end interrupts a Read in progress, makes every later one fail, and makes Close linger.
@@ -53,6 +63,12 @@
 	return c.ending
 }
 
+func (c *conn) isUnfinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unfinished
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.isEnding() {
@@ -88,12 +104,17 @@
 }
 
 // Close closes the connection. If it holds an unread body, Close returns at once and the
-// connection lingers.
+// connection lingers, unless its answer is not finished.
 func (c *conn) Close() error {
 	if !c.isEnding() {
 		return c.Conn.Close()
 	}
 	c.once.Do(func() {
+		if c.isUnfinished() {
+			defer c.server.endLinger(c.Conn)
+			c.Conn.Close()
+			return
+		}
 		go func() {
 			defer c.server.endLinger(c.Conn)
 			Close(c.Conn)
--- a/linger/handler.go
+++ b/linger/handler.go
@@ -23,7 +23,24 @@
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
-	if !ok || r.ProtoMajor != 1 || r.Body == nil || r.Body == http.NoBody {
+	if !ok || r.ProtoMajor != 1 {
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	if r.ProtoMinor > 0 {
+		h.serve(c, w, r)
+		return
+	}
+	// An answer to HTTP/1.0 may end with the connection. Until the handler has returned, whatever
+	// closes the connection must not make the answer look complete.
+	c.setUnfinished(true)
+	h.serve(c, w, r)
+	c.setUnfinished(false)
+}
+
+// serve serves a request of HTTP/1 on the connection.
+func (h *handler) serve(c *conn, w http.ResponseWriter, r *http.Request) {
+	if r.Body == nil || r.Body == http.NoBody {
 		h.next.ServeHTTP(w, r)
 		return
 	}
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -326,6 +326,9 @@
 	return h.reader.Read(p[:min(len(p), h.reader.Buffered())])
 }
 
+// NetConn returns the connection that the server accepted.
+func (h *handedOver) NetConn() net.Conn { return h.Conn }
+
 // CloseWrite ends the sending direction. net/http uses it to let the last response arrive.
 func (h *handedOver) CloseWrite() error {
 	if half, ok := h.Conn.(interface{ CloseWrite() error }); ok {
