node: a planned stop answers the requests that would outlast it

What callers saw: a planned stop of a node with the product's own interface closed the connections of requests that were still running, or whose body had stalled, at the end of its time. They got no answer.

Cause: the entry ends waits and attempts in time for an answer only if the stop tells it its times; only the process on the platform did.

Evidence: TestStopAnswersRequestsThatOutlastIt before: EOF for all three requests (a booking and a lookup that run, a body that stalls). Now 502 unknown twice and 503 not-run; five runs of five with the race detector.

Why the fix works: both kinds of processes set the same times, from one function, and the entry answers at 0.75 and 0.86 of the stop timeout, before the servers are closed.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -16,6 +16,17 @@
 // errStopping is the cause of a context that a planned stop has ended.
 var errStopping = errors.New("this node is stopping")
 
+// The parts of a planned stop end at these fractions of its time limit.
+const (
+	// waitFraction ends the waits. An attempt that began just before can still end in time.
+	waitFraction = 0.75
+	// attemptFraction ends the attempts. Callers expect a node to go on with them during the first
+	// five sixths of its stop.
+	attemptFraction = 0.86
+	// replyFraction ends the queries for attempts that were given up.
+	replyFraction = 0.88
+)
+
 // StopTimes are the times in a planned stop at which the entry ends what its requests still do.
 type StopTimes struct {
 	// Waits is the time from which no request waits or begins another attempt.
@@ -26,6 +37,12 @@
 	Replies time.Time
 }
 
+// StopTimesWithin returns the times in a stop that began at start and must end within limit.
+func StopTimesWithin(start time.Time, limit time.Duration) StopTimes {
+	at := func(fraction float64) time.Time { return start.Add(time.Duration(fraction * float64(limit))) }
+	return StopTimes{Waits: at(waitFraction), Attempts: at(attemptFraction), Replies: at(replyFraction)}
+}
+
 // stop is the state of a planned stop. Before ScheduleStop neither context ends.
 type stop struct {
 	times    atomic.Pointer[StopTimes]
--- a/node/servers.go
+++ b/node/servers.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/jackdawlane/jackdawlane/control"
+	"github.com/jackdawlane/jackdawlane/entry"
 	"github.com/jackdawlane/jackdawlane/guard"
 	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/linger"
@@ -85,10 +86,11 @@
 }
 
 // stop refuses new requests, waits for the requests in flight to end, and closes the
-// servers. A server that still has requests in flight at the stop timeout is closed
-// anyway.
+// servers. The entry answers the requests that would outlast the stop. A server that still
+// has requests in flight at the stop timeout is closed anyway.
 func (n *Node) stop(all servers) error {
 	n.logger.Info("stopping", "timeout", n.settings.Node.StopTimeout)
+	n.entry.ScheduleStop(entry.StopTimesWithin(time.Now(), n.settings.Node.StopTimeout))
 	n.stopping.Store(true)
 	n.guard.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Node.StopTimeout)
