watch: a node learns from the replies of others that there is a newer configuration

What callers saw: a node whose watch had lost its response, while stale reads lagged, went on with the old configuration for up to 2.35 max_age: 404 on a route that others served.

Cause: the checks beside a watch may show an old state, and nothing else told the node that its watch was dead.

Why the fix works: each reply of a guard states the version in force there. A newer one makes the follower list the objects, unless its watch brings them within 0.15 max_age, so that an ordinary change costs no further call. A list is current and has a connection of its own.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -85,6 +85,7 @@
 	}
 	defer res.Body.Close()
 	rs.entry.clockReadings.record(b.Guard, res.Header.Get(hop.HeaderGuardTime))
+	rs.entry.noteConfigVersion(res.Header.Get(hop.HeaderConfigVersion))
 	replayable := false
 	defer func() {
 		// An upload that the backend server did not read before it answered must not delay the end
@@ -102,6 +103,16 @@
 	return errReply
 }
 
+// noteConfigVersion passes on the version of the configuration that a reply states, if it states one.
+func (e *Entry) noteConfigVersion(text string) {
+	if e.config.ConfigVersionSeen == nil {
+		return
+	}
+	if version, err := strconv.ParseUint(text, 10, 64); err == nil {
+		e.config.ConfigVersionSeen(version)
+	}
+}
+
 // startAcknowledgeTimer cancels the attempt after AcknowledgeTimeout unless stop is called
 // first, as attempt does when the guard acknowledges the attempt.
 func (ra *requestAttempt) startAcknowledgeTimer(cancel context.CancelFunc) (stop func()) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,9 @@
 	Snapshot func() *config.Snapshot
 	// View returns the current membership view, which lists the known backend servers.
 	View func() *membership.View
+	// ConfigVersionSeen is called with the version of the configuration that a guard's reply states; it may
+	// be nil.
+	ConfigVersionSeen func(version uint64)
 	// Resolver asks guards about attempts whose answers were lost.
 	Resolver Resolver
 	// GuardsLimitRetries leaves it to the guards to limit retries; the entry then keeps no retry
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -46,6 +46,9 @@
 	BufferAnswers bool
 	// Acknowledge makes the guard acknowledge each attempt to the entry on arrival.
 	Acknowledge bool
+	// ConfigVersion returns the version of the configuration in force, which each reply states; nil means
+	// that none does.
+	ConfigVersion func() uint64
 	// RepeatBudget limits repeats, the attempts of requests that may already have reached
 	// a backend server.
 	RepeatBudget RepeatBudget
@@ -333,6 +336,9 @@
 	}
 	h.Set(hop.HeaderOutcome, string(o))
 	h.Set(hop.HeaderGuardTime, g.attemptClock.read().String())
+	if g.config.ConfigVersion != nil {
+		h.Set(hop.HeaderConfigVersion, strconv.FormatUint(g.config.ConfigVersion(), 10))
+	}
 	health := g.config.HealthMonitor.Health(req.backendID)
 	if health != Healthy {
 		h.Set(hop.HeaderHealth, string(health))
--- a/hop/hop.go
+++ b/hop/hop.go
@@ -47,6 +47,8 @@
 	// refused too, or would have to wait: until a slot is expected to be free, or until the next
 	// re-test of a suspected backend server is due.
 	HeaderAgainMS = "Jackdawlane-Again-Ms"
+	// HeaderConfigVersion is the version of the configuration in force at the guard, in decimal digits.
+	HeaderConfigVersion = "Jackdawlane-Config-Version"
 	// HeaderGrant is "true" when the guard has charged the next attempt of the request to its
 	// own part of the repeat budget, so that the next guard does not charge it again.
 	HeaderGrant = "Jackdawlane-Grant"
--- a/watch/calls.go
+++ b/watch/calls.go
@@ -50,6 +50,11 @@
 			r.addList(checkCall)
 		case <-r.overdue.C:
 			r.addList(watchCall)
+		case <-r.hints():
+			r.hinted = true
+			r.hintDue.Reset(r.options.Overdue)
+		case <-r.hintDue.C:
+			r.listAfterHint()
 		case <-r.listBegan:
 			// The store answers, however long the list takes.
 			r.overdue.Reset(f.options.Timeout)
@@ -77,6 +82,10 @@
 	overdue, checkOverdue *time.Timer
 	checkDue              *time.Ticker
 	checking              bool
+	// hintDue fires when a hint that somebody else has newer objects is old enough that the watch should
+	// have brought them; hinted is set from the hint until the list that follows it is answered.
+	hintDue *time.Timer
+	hinted  bool
 	// late is the kind of the call that got no response in time last; empty once it got one.
 	late callKind
 }
@@ -99,8 +108,12 @@
 		overdue:      time.NewTimer(f.options.Overdue),
 		checkOverdue: time.NewTimer(f.options.Overdue),
 		checkDue:     time.NewTicker(max(f.options.CheckInterval, 1)),
+		hintDue:      time.NewTimer(f.options.Overdue),
 	}
 	r.checkOverdue.Stop()
+	r.hintDue.Stop()
+	// The call that begins now brings what a hint before it was about.
+	f.options.Progress.forgetHint()
 	if !f.listed {
 		r.checkDue.Stop()
 		r.startList()
@@ -117,6 +130,24 @@
 	r.overdue.Stop()
 	r.checkOverdue.Stop()
 	r.checkDue.Stop()
+	r.hintDue.Stop()
+}
+
+// hints returns the channel that tells of newer objects elsewhere, or nil while the last hint is followed.
+func (r *round) hints() <-chan struct{} {
+	if r.hinted || !r.listed {
+		return nil
+	}
+	return r.options.Progress.hints()
+}
+
+// listAfterHint lists the objects, because neither the watch nor a check has brought the newer ones that
+// somebody else has: the watch may be dead and checks may show an old state.
+func (r *round) listAfterHint() {
+	r.options.Progress.update(func(s *ProgressState) { s.Hints++ })
+	if r.count(listCall) < maxLists {
+		r.startList()
+	}
 }
 
 // ends reports whether the result is that of the round, and records it.
@@ -140,7 +171,8 @@
 	// The list shows nothing new, and a change may be on its way to the watch. The watch may have failed
 	// or be dead, so another one starts.
 	r.options.Progress.confirm(result, r.from)
-	r.late = ""
+	r.late, r.hinted = "", false
+	r.options.Progress.forgetHint()
 	r.overdue.Reset(r.options.Wait + r.options.Overdue)
 	if overtaken || r.count(watchCall) == 0 {
 		r.startWatch()
--- a/watch/progress.go
+++ b/watch/progress.go
@@ -12,6 +12,8 @@
 	// one other than a check: checks may show an old state.
 	answeredAt, confirmedAt time.Time
 	state                   ProgressState
+	// newer holds a value once somebody else has newer objects.
+	newer chan struct{}
 }
 
 // ProgressState is the state of a Progress at one moment.
@@ -24,6 +26,8 @@
 	Failures int64 `json:"failures"`
 	// Overdue is how often a call without a response in time was joined by a list.
 	Overdue int64 `json:"overdue"`
+	// Hints is how often the objects were listed because somebody else had newer ones.
+	Hints int64 `json:"hints"`
 	// Checks are the checks that got a response.
 	Checks int64 `json:"checks"`
 	// HistoryGone is how often the store no longer had the changes after Revision.
@@ -31,7 +35,34 @@
 }
 
 // NewProgress returns the progress of a follower that starts now.
-func NewProgress() *Progress { return &Progress{answeredAt: time.Now(), confirmedAt: time.Now()} }
+func NewProgress() *Progress {
+	return &Progress{answeredAt: time.Now(), confirmedAt: time.Now(), newer: make(chan struct{}, 1)}
+}
+
+// NewerElsewhere records that somebody else has newer objects. If no call brings them soon, the follower
+// lists the objects.
+func (p *Progress) NewerElsewhere() {
+	select {
+	case p.newer <- struct{}{}:
+	default:
+	}
+}
+
+// hints returns the channel that holds a value once somebody else has newer objects; nil if p is nil.
+func (p *Progress) hints() <-chan struct{} {
+	if p == nil {
+		return nil
+	}
+	return p.newer
+}
+
+// forgetHint drops what NewerElsewhere has told. It does nothing on nil.
+func (p *Progress) forgetHint() {
+	select {
+	case <-p.hints():
+	default:
+	}
+}
 
 // SinceAnswer returns the time since the start of the last call that got its response.
 func (p *Progress) SinceAnswer() time.Duration {
