tests: each test run has a loopback address of its own

Cause: the fixture closed the ports that it had chosen, and its node listened on them later. Between the two another listener or connection took the port. The error of Run was dropped, so the test only saw that nothing happened.

Related paths: the tests of platform and the scenarios chose and closed ports of 127.0.0.1 in ranges that overlap, and a killed node's port was free for any of them until its restart. Held servers of stores and backend servers used ports that outgoing connections use too.

Now standin/loopback gives each process of a test run a host of 127.64.0.0/10 by its process ID, and each address once; no other test run can take it, nor an outgoing connection, which comes from 127.0.0.1. The fixture reports a node that ends early. The relay of TestAnswerCutOnTheHop moves to the same host, because a guard's control address has the IP address of its hop address.

--- a/node/fixture_test.go
+++ b/node/fixture_test.go
@@ -24,6 +24,7 @@
 	"github.com/jackdawlane/jackdawlane/route"
 	"github.com/jackdawlane/jackdawlane/settings"
 	"github.com/jackdawlane/jackdawlane/standin/link"
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 	standin "github.com/jackdawlane/jackdawlane/standin/objectstore"
 )
 
@@ -70,7 +71,13 @@
 	f.node, err = New(ctx, f.settings, log.New(io.Discard), "test")
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
-	go func() { ended <- f.node.Run(ctx) }()
+	go func() {
+		err := f.node.Run(ctx)
+		if ctx.Err() == nil {
+			t.Errorf("the node ended before it was stopped: %v", err)
+		}
+		ended <- err
+	}()
 	f.stop = func() error {
 		cancel()
 		err := <-ended
@@ -84,7 +91,7 @@
 
 // relayTo starts the relay to the store and returns its address.
 func (f *fixture) relayTo(store net.Addr) net.Addr {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	assert.NilError(f, err)
 	f.link = link.New(store.String())
 	go f.link.Serve(l)
@@ -92,14 +99,11 @@
 	return l.Addr()
 }
 
-// loadSettings returns the settings of a node on free loopback ports.
+// loadSettings returns the settings of a node on addresses of its own.
 func (f *fixture) loadSettings(store net.Addr) settings.Settings {
 	var addresses []any
 	for range 5 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(f, err)
-		defer l.Close()
-		addresses = append(addresses, l.Addr())
+		addresses = append(addresses, loopback.NextAddress())
 	}
 	text := fmt.Sprintf(`[node]
 id = n1
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -11,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +17,7 @@
 
 	"github.com/jackdawlane/jackdawlane/control"
 	"github.com/jackdawlane/jackdawlane/organisation"
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 const (
@@ -86,31 +85,6 @@
 	}
 }
 
-// nextPort counts through the ports for listening processes. They lie below the
-// range from which the operating system takes the ports of outgoing connections,
-// so no connection can take a port between its choice here and the start of the
-// process that listens on it.
-var nextPort atomic.Int32
-
-const firstPort, lastPort = 20_000, 32_000
-
-// Runs of the scenarios that overlap on one machine start at different ports.
-func init() { nextPort.Store(rand.Int32N(lastPort - firstPort)) }
-
-// freeAddress returns a loopback address with a free port that no other process of this test run gets.
-func freeAddress(ts *testscript.TestScript) string {
-	for range lastPort - firstPort {
-		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-	ts.Fatalf("none of the ports for the scenarios is free")
-	return ""
-}
-
 func (f *fleet) process(ts *testscript.TestScript, name string) *process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -188,7 +162,7 @@
 // startStore: store
 // starts the stand-in for the object store.
 func (f *fleet) startStore(ts *testscript.TestScript, _ []string) {
-	address := freeAddress(ts)
+	address := loopback.NextAddress().String()
 	p := &process{name: "store", admin: address + "/admin/faults", addresses: map[string]string{"store": address}}
 	p.args = []string{"jackdawstub", "objectstore", "--listen", address, "--calls-per-second", "0"}
 	f.start(ts, p)
@@ -221,7 +195,7 @@
 
 // startLink starts a TCP relay in front of target and returns the address of the relay.
 func (f *fleet) startLink(ts *testscript.TestScript, name, target string) string {
-	address, admin := freeAddress(ts), freeAddress(ts)
+	address, admin := loopback.NextAddress().String(), loopback.NextAddress().String()
 	p := &process{name: name, admin: admin + "/link", addresses: map[string]string{"link": address}}
 	p.args = []string{"jackdawstub", "link", "--address", address, "--target", target, "--admin", admin}
 	f.start(ts, p)
@@ -242,7 +216,7 @@
 	}
 	p := &process{name: name, addresses: map[string]string{}}
 	for _, kind := range []string{"traffic", "hop", "control", "announce", "metrics"} {
-		p.addresses[kind] = freeAddress(ts)
+		p.addresses[kind] = loopback.NextAddress().String()
 		values["node"][kind+"_address"] = p.addresses[kind]
 	}
 	p.addresses["advertise"] = p.addresses["control"]
@@ -310,7 +284,7 @@
 	if len(args) > 3 {
 		settings = args[3]
 	}
-	address := freeAddress(ts)
+	address := loopback.NextAddress().String()
 	p := &process{name: args[0], service: args[1], admin: address + "/admin/settings", addresses: map[string]string{"backend": address}}
 	p.args = []string{"jackdawstub", "backend", "--service", args[1], "--secret", secret,
 		"--address", address, "--guard", strings.Join(guards, ","), "--settings", settings}
