scenarios: work that a backend server shed was answered, although it did not run

Cause: both scenarios set a backend server to leaving under load. It sheds work with 503 at once; its guard still sends work for the moment until it has read the announcement. The response is the backend server's answer and is passed on as such, and the work has not run: nothing that a caller was told is untrue. The check took every answer for a run.

The check now tells this answer apart and is stricter on it: the exact response, no more shed work than the backend servers counted, and no run if the work is not idempotent and has one request.

--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -34,7 +34,9 @@
 	outcome    string
 	reason     string
 	answerText string
-	err        error
+	// shed is set when the backend server answered that it sheds the work.
+	shed bool
+	err  error
 }
 
 func (q *request) idempotent() bool { return strings.HasPrefix(q.path, "/slot") }
@@ -96,6 +98,7 @@
 	if q.outcome == string(hop.OutcomeAnswer) && res.StatusCode == http.StatusOK {
 		q.answerText = string(text)
 	} else {
+		q.shed = q.outcome == string(hop.OutcomeAnswer) && res.StatusCode == http.StatusServiceUnavailable && string(text) == backend.ShedBody
 		q.err = fmt.Errorf("%s: %.200s", res.Status, text)
 	}
 }
@@ -174,6 +177,17 @@
 	return all
 }
 
+// shedByBackends returns how much work all backend servers shed.
+func (f *fleet) shedByBackends(ts *testscript.TestScript) int {
+	n := 0
+	for name, p := range f.processes {
+		if p.service != "" {
+			n += f.stats(ts, name).Shed
+		}
+	}
+	return n
+}
+
 // awaitRunning: await-running WORK-ID
 // waits until a backend server has started the work.
 func (f *fleet) awaitRunning(ts *testscript.TestScript, args []string) {
@@ -226,7 +240,9 @@
 // the backend servers counted:
 //   - Work that is not idempotent ran at most once.
 //   - Work did not run if all its requests were refused as not run.
-//   - Answered work ran, and its answer is complete and belongs to this request.
+//   - Answered work ran, and its answer is complete and belongs to this request. The only other
+//     answer is that a backend server sheds the work: the backend servers must have counted at least
+//     as much shed work, and work that is not idempotent and has no other request did not run.
 //
 // With answers, at least PERCENT of the requests must be answered. With no-broken,
 // every request must have a complete reply.
@@ -236,8 +252,15 @@
 	}
 	// mayHaveRun holds the work of which at least one request was not refused as not run.
 	mayHaveRun := make(map[string]bool)
+	// requests counts the requests of each work; shed holds the work that a backend server shed.
+	requests := make(map[string]int)
+	shed := make(map[string]bool)
 	for _, q := range f.requests {
 		<-q.done
+		requests[q.workID()]++
+		if q.shed {
+			shed[q.workID()] = true
+		}
 		if q.outcome != string(hop.OutcomeNotRun) {
 			mayHaveRun[q.workID()] = true
 		}
@@ -253,12 +276,17 @@
 			ts.Fatalf("%s is not idempotent and ran %d times", q.id, n)
 		case q.outcome == string(hop.OutcomeNotRun) && !mayHaveRun[q.workID()] && n > 0:
 			ts.Fatalf("%s was refused as not run (%s), but it ran", q.id, q.reason)
-		case q.outcome == string(hop.OutcomeAnswer) && n == 0:
-			ts.Fatalf("%s was answered, but it did not run", q.id)
+		case q.shed && !q.idempotent() && requests[q.workID()] == 1 && n > 0:
+			ts.Fatalf("%s was shed, but it ran", q.id)
+		case q.outcome == string(hop.OutcomeAnswer) && !q.shed && n == 0:
+			ts.Fatalf("%s was answered, but it did not run: %v", q.id, q.err)
 		case q.answerText != "" && q.answerText != q.wantAnswer():
 			ts.Fatalf("%s got a wrong or incomplete answer: %.80q", q.id, q.answerText)
 		}
 	}
+	if counted := f.shedByBackends(ts); len(shed) > counted {
+		ts.Fatalf("%d requests were answered as shed, but the backend servers shed %d", len(shed), counted)
+	}
 	ts.Logf("outcomes: %v", counts)
 	if _, ok := opts["no-broken"]; ok && counts[broken] > 0 {
 		ts.Fatalf("%d replies were incomplete or missing", counts[broken])
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -22,6 +22,9 @@
 	HeaderServiceMS = "X-Service-Ms"
 )
 
+// ShedBody is the body of the response to work that is shed.
+const ShedBody = "shed\n"
+
 // maxAdminBytes bounds the body of a request that changes the settings.
 const maxAdminBytes = 64 << 10
 
@@ -197,13 +200,14 @@
 	ctx, cancel := workContext(r)
 	defer cancel()
 	if !s.acquireSlot(ctx) {
-		http.Error(w, "shed", http.StatusServiceUnavailable)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		io.WriteString(w, ShedBody)
 		return
 	}
 	defer s.releaseSlot()
 	s.countRun(r.Header.Get(HeaderWorkID))
 	p := s.drawPlan(r)
-	if !sleep(ctx, p.service) {
+	if !sleep(ctx, p.service) || !s.awaitRelease(ctx) {
 		s.countCancelled()
 		http.Error(w, "cancelled", http.StatusGatewayTimeout)
 		return
@@ -233,6 +237,22 @@
 	}
 }
 
+// awaitRelease waits until the settings do not hold running work. It returns false if the context
+// ends first.
+func (s *Server) awaitRelease(ctx context.Context) bool {
+	for {
+		changed := s.nextChange()
+		if !s.Settings().Hold {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func writeResponse(w http.ResponseWriter, r *http.Request, body []byte, p plan) {
 	if p.close {
 		panic(http.ErrAbortHandler)
--- a/standin/backend/settings.go
+++ b/standin/backend/settings.go
@@ -23,6 +23,8 @@
 	// falls linearly from ColdFactor times its normal value to that value.
 	ColdMS     float64 `json:"cold_ms"`
 	ColdFactor float64 `json:"cold_factor"`
+	// Hold keeps work running until Hold is false again, beyond its service time.
+	Hold bool `json:"hold"`
 	// State is the announced state. In the state leaving, new work is shed.
 	State membership.State `json:"state"`
 
