--- a/linger/unreadbody_test.go
+++ b/linger/unreadbody_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,13 +10,14 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/telemetry/telemetrytest"
 )
 
 // testTimeout bounds the time for which a test waits for something that must happen.
@@ -36,7 +36,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	f := &fixture{t: t, address: l.Addr().String()}
-	logs := &logBuffer{}
+	logs := &telemetrytest.Buffer{}
 	f.server = NewServer(&http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			f.requests.Add(1)
@@ -52,23 +52,6 @@
 	return f
 }
 
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 type client struct {
 	t *testing.T
 	net.Conn
