tests: listeners that a test closes have addresses of the test run too

The tests of entry, control, exchange, pipeline, linger and standin/link listened on ports that the system chose. Some close a listener and go on calling its address (a guard that cannot be reached, a node that has ended), and any other process of the machine could take the port meanwhile.

loopback.NextAddress begins again after its last port, so that long fuzzing does not use them up.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -13,6 +12,8 @@
 	"gotest.tools/v3/poll"
 
 	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 // waitLimit covers goneAfter of package membership, the timeout of a call and a few
@@ -36,7 +37,7 @@
 // other nodes.
 func startNode(t *testing.T, id string, seeds ...string) *testNode {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := loopback.Listen()
 	assert.NilError(t, err)
 	n := &testNode{address: listener.Addr().String(), traffic: &trafficCounter{Listener: listener}, result: make(chan error, 1)}
 	own := &pb.NodeRecord{
--- a/control/server_test.go
+++ b/control/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +15,7 @@
 	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
 	"github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1/jackdawlanev1connect"
 	"github.com/jackdawlane/jackdawlane/membership"
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 // fakeConfig is a ConfigSource with fixed pages, keyed by hash.
@@ -30,7 +30,7 @@
 
 func serve(t *testing.T, s Services) jackdawlanev1connect.ControlServiceClient {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := loopback.Listen()
 	assert.NilError(t, err)
 	server := NewServer(NewHandler(s))
 	go func() { _ = server.Serve(listener) }()
--- a/control/wire_test.go
+++ b/control/wire_test.go
@@ -12,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	pb "github.com/jackdawlane/jackdawlane/gen/jackdawlane/v1"
+
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 // trafficCounter is a listener that counts the connections that a server accepts and
@@ -84,7 +86,7 @@
 // BenchmarkSyncCall measures the time of one Sync call with its client and its server in
 // this process, and the mean processor time of the two ends in µs.
 func BenchmarkSyncCall(b *testing.B) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := loopback.Listen()
 	assert.NilError(b, err)
 	syncer := NewSyncer(&pb.NodeRecord{NodeId: "a", Incarnation: 1}, nil, NewClient())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -28,6 +28,7 @@
 	"github.com/jackdawlane/jackdawlane/route"
 	"github.com/jackdawlane/jackdawlane/settings"
 	"github.com/jackdawlane/jackdawlane/standin/link"
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 	store "github.com/jackdawlane/jackdawlane/standin/objectstore"
 )
 
@@ -115,7 +116,7 @@
 }
 
 func listen(t testing.TB) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	assert.NilError(t, err)
 	return l
 }
--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -13,13 +13,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 // endlessServer reads the head of one request on each connection, sends the start, and then the
 // rest again and again until the client closes. It returns its address and the largest number of
 // bytes that it could send on one connection.
 func endlessServer(t *testing.T, start, rest string) (address string, sent func() int) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
 	var mu sync.Mutex
--- a/exchange/unsolicited_test.go
+++ b/exchange/unsolicited_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 const (
@@ -30,7 +32,7 @@
 // scriptedServer passes every request of a connection to reply, which writes to the connection. It
 // returns its address and a function that tells how often a request was received.
 func scriptedServer(t *testing.T, reply func(c net.Conn, id string)) (address string, received func(id string) int) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	assert.NilError(t, err)
 	t.Cleanup(func() { l.Close() })
 	var mu sync.Mutex
--- a/linger/http10_test.go
+++ b/linger/http10_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 // longPart is a part of an answer that net/http sends on before the handler ends.
@@ -77,7 +79,7 @@
 
 // Guards against a change of the connection's options through wrappers that hide the TCP connection.
 func TestResetPassesWrappers(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	assert.NilError(t, err)
 	defer l.Close()
 	client, err := net.Dial("tcp", l.Addr().String())
--- a/linger/unreadbody_test.go
+++ b/linger/unreadbody_test.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 	"github.com/jackdawlane/jackdawlane/telemetry/telemetrytest"
 )
 
@@ -33,7 +34,7 @@
 }
 
 func start(t *testing.T, h http.HandlerFunc) *fixture {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	assert.NilError(t, err)
 	f := &fixture{t: t, address: l.Addr().String()}
 	logs := &telemetrytest.Buffer{}
--- a/pipeline/head_test.go
+++ b/pipeline/head_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 // heads are the starts of connections, valid and invalid ones.
@@ -75,7 +77,7 @@
 
 // startPlain serves the handler with net/http alone.
 func startPlain(t testing.TB, h http.HandlerFunc) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	assert.NilError(t, err)
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	go s.Serve(l)
--- a/pipeline/pending_test.go
+++ b/pipeline/pending_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 // Guards against a server that is taken for idle while a request that it has read has no response
@@ -61,7 +62,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	assert.NilError(t, err)
 	handler := func(_ http.ResponseWriter, r *http.Request) { assert.Check(t, r.ProtoMajor == 2) }
 	s := NewServer(&http.Server{Handler: http.HandlerFunc(handler), Protocols: protocols}, nil, log.New(io.Discard))
--- a/pipeline/server_test.go
+++ b/pipeline/server_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 // testTimeout bounds the time for which a test waits for something that must happen.
@@ -21,7 +23,7 @@
 
 // start serves the handler and returns the server and its address.
 func start(t testing.TB, h http.HandlerFunc) (*Server, string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := loopback.Listen()
 	assert.NilError(t, err)
 	s := NewServer(&http.Server{Handler: h, ReadHeaderTimeout: time.Second}, nil, log.New(io.Discard))
 	go s.Serve(l)
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -12,13 +12,15 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/jackdawlane/jackdawlane/standin/loopback"
 )
 
 // newRelay returns a relay to an echo server, and a connection through the relay.
 func newRelay(t *testing.T) (*Relay, net.Conn) {
-	target, err := net.Listen("tcp", "127.0.0.1:0")
+	target, err := loopback.Listen()
 	assert.NilError(t, err)
-	front, err := net.Listen("tcp", "127.0.0.1:0")
+	front, err := loopback.Listen()
 	assert.NilError(t, err)
 	go func() {
 		for {
--- a/standin/loopback/loopback.go
+++ b/standin/loopback/loopback.go
@@ -6,7 +6,6 @@
 package loopback
 
 import (
-	"fmt"
 	"net"
 	"net/netip"
 	"os"
@@ -23,7 +22,7 @@
 )
 
 // addresses counts the addresses that this process has used.
-var addresses atomic.Int32
+var addresses atomic.Uint32
 
 // Host returns the loopback address of this process, which differs from those of all other running
 // processes.
@@ -32,13 +31,11 @@
 	return netip.AddrFrom4([4]byte{byte(host >> 24), byte(host >> 16), byte(host >> 8), byte(host)})
 }
 
-// NextAddress returns an address of Host with a port that it has not returned before. It panics when
-// there is none left.
+// NextAddress returns an address of Host with a port that it has not returned before. Once all ports have
+// been returned it begins again.
 func NextAddress() netip.AddrPort {
-	port := firstPort + int(addresses.Add(1)) - 1
-	if port > lastPort {
-		panic(fmt.Sprintf("loopback: all ports of %s are used", Host()))
-	}
+	const ports = lastPort - firstPort + 1
+	port := firstPort + (addresses.Add(1)-1)%ports
 	return netip.AddrPortFrom(Host(), uint16(port))
 }
 
