cli: a misspelled subcommand is refused

"jackdawlane bogus" exited with 1 in place of 2.

Cause: cobra checks the names of subcommands only below the root, and answers a command without a function of its own with its help and no error. Now these commands refuse arguments that name none of their subcommands, with exit code 2 and the nearest name. Without arguments they print their help as before.

TestUnknownCommandIsNoSuccess failed before: exit code 0 for route, pool and organisation, 1 for an unknown command of the root.

--- a/cli/root.go
+++ b/cli/root.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/netip"
 	"os"
@@ -108,6 +109,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	acceptOnlySubcommands(root)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, ErrUsage) })
 	f := root.PersistentFlags()
 	f.StringVar(&a.store, "store", os.Getenv(storeVariable), "IP address and port of the object store; default $"+storeVariable)
@@ -135,6 +137,26 @@
 	return root
 }
 
+// maxTypos is the number of characters in which a suggested command may differ from an unknown one.
+const maxTypos = 2
+
+// acceptOnlySubcommands makes a command that does nothing by itself refuse arguments that name none of its
+// subcommands. Otherwise cobra prints its help, as if the command had succeeded.
+func acceptOnlySubcommands(c *cobra.Command) {
+	c.Args = cobra.ArbitraryArgs
+	c.SuggestionsMinimumDistance = maxTypos
+	c.RunE = func(c *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return c.Help()
+		}
+		message := fmt.Sprintf("unknown command %q for %q", args[0], c.CommandPath())
+		if similar := c.SuggestionsFor(args[0]); len(similar) > 0 {
+			message += fmt.Sprintf(", did you mean %q?", similar[0])
+		}
+		return errors.Wrap(ErrUsage, message)
+	}
+}
+
 func (a *app) storeClient() (*objectstore.Client, error) {
 	address, err := netip.ParseAddrPort(a.store)
 	if err != nil {
--- a/cli/tables.go
+++ b/cli/tables.go
@@ -16,6 +16,7 @@
 
 func (a *app) routeCommand() *cobra.Command {
 	c := &cobra.Command{Use: "route", Short: "List, show, add, edit and remove routes"}
+	acceptOnlySubcommands(c)
 	c.AddCommand(
 		a.listCommand(func(s *config.Snapshot) error { return a.printRoutes(s.Routes()) }),
 		a.showCommand("ORGANISATION/NAME", func(ctx context.Context, v *config.VersionReader, key string) error {
@@ -129,6 +130,7 @@
 
 func (a *app) poolCommand() *cobra.Command {
 	c := &cobra.Command{Use: "pool", Short: "List, show, add, edit and remove pools"}
+	acceptOnlySubcommands(c)
 	c.AddCommand(
 		a.listCommand(func(s *config.Snapshot) error { return a.printPools(s.Pools()) }),
 		a.showCommand("NAME", func(ctx context.Context, v *config.VersionReader, name string) error {
@@ -205,6 +207,7 @@
 	}
 	add.Flags().TextVar(&hash, "secret-sha256", organisation.Hash{}, "SHA-256 of the organisation's secret; the command hash prints it")
 	c := &cobra.Command{Use: "organisation", Short: "Add and remove organisations"}
+	acceptOnlySubcommands(c)
 	c.AddCommand(add, a.removeCommand("NAME",
 		func(name string) config.Deletes { return config.Deletes{Organisations: []string{name}} },
 		func(ctx context.Context, v *config.VersionReader, name string) error {
