telemetry: TestBoundedWriterNeverWaits finds a single wait of a write

The new test runs in a bubble of testing/synctest, where time passes only while all goroutines wait: all writes together must take no time at all. Load on the machine does not matter to it.

--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -50,3 +51,22 @@
 	assert.Assert(t, out.text.Len() < 3<<20, "%d bytes were written, expected less than 3 MiB", out.text.Len())
 	assert.Assert(t, strings.Contains(out.text.String(), "log lines dropped"))
 }
+
+// Guards against a write that waits for the reader of the logs, however rarely and briefly.
+func TestBoundedWriterNeverWaits(t *testing.T) {
+	// In the bubble, time passes only while all goroutines wait.
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockedWriter{release: make(chan struct{})}
+		w := telemetry.NewBoundedWriter(out)
+		line := []byte(strings.Repeat("x", 99) + "\n")
+		started := time.Now()
+		for range 100_000 {
+			n, err := w.Write(line)
+			assert.NilError(t, err)
+			assert.Equal(t, n, len(line))
+		}
+		assert.Equal(t, time.Since(started), time.Duration(0), "a write waited")
+		close(out.release)
+		w.Close(5 * time.Second)
+	})
+}
