--- a/cli/usage_test.go
+++ b/cli/usage_test.go
@@ -27,6 +27,7 @@
 	}
 }
 
+// Guards against an error in place of the help for an operator who gives no subcommand.
 func TestCommandWithoutSubcommandPrintsHelp(t *testing.T) {
 	for _, args := range []string{"", "route", "pool", "organisation"} {
 		var out, errOut bytes.Buffer
--- a/standin/loopback/loopback.go
+++ b/standin/loopback/loopback.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// firstPort and lastPort are the ports that NextAddress returns.
+	// firstPort and lastPort bound the ports that NextAddress returns.
 	firstPort, lastPort = 10_000, 65_535
 	// hostPrefix is the network 127.64.0.0/10, whose hosts have hostBits bits. Linux has no more process
 	// IDs than the network has hosts.
@@ -21,8 +21,8 @@
 	hostBits   = 22
 )
 
-// addresses counts the addresses that this process has used.
-var addresses atomic.Uint32
+// returned counts the addresses that NextAddress has returned.
+var returned atomic.Uint32
 
 // Host returns the loopback address of this process, which differs from those of all other running
 // processes.
@@ -35,7 +35,7 @@
 // been returned it begins again.
 func NextAddress() netip.AddrPort {
 	const ports = lastPort - firstPort + 1
-	port := firstPort + (addresses.Add(1)-1)%ports
+	port := firstPort + (returned.Add(1)-1)%ports
 	return netip.AddrPortFrom(Host(), uint16(port))
 }
 
