--- a/node/configuration.go
+++ b/node/configuration.go
@@ -15,9 +15,12 @@
 
 const (
 	// watchWait is the length of one watch on the head in the object store. A stale watch
-	// delays a change by this time, which is part of the 7 s within which a change must be
-	// in force on all nodes.
-	watchWait = 3 * time.Second
+	// delays a change by this time, and one without a response by watchOverdue more. Both are part
+	// of the 7 s within which a change must be in force on all nodes, of which the way from the
+	// relays to the other nodes takes up to 4.9 s.
+	watchWait = time.Second
+	// watchOverdue is the time after the end of its wait at which a watch is given up.
+	watchOverdue = 500 * time.Millisecond
 	// configPollInterval is the time between two checks of the version that peers report.
 	configPollInterval = 200 * time.Millisecond
 	// configRetryDelay is the time until the next try after the configuration could not
@@ -29,7 +32,9 @@
 // and from peers. Only the goroutine of run accesses the follower; other goroutines read
 // the published configuration.
 type configUpdater struct {
-	loader    *config.Loader
+	loader *config.Loader
+	// closeIdle closes the idle connections to the object store.
+	closeIdle func()
 	timeout   time.Duration
 	syncer    *control.Syncer
 	peers     *configPeers
@@ -56,12 +61,13 @@
 
 func newConfigUpdater(store *objectstore.Client, timeout time.Duration, s *control.Syncer, peers *configPeers, logger *log.Logger) *configUpdater {
 	cfg := &configUpdater{
-		loader:   config.NewLoader(store),
-		timeout:  timeout,
-		syncer:   s,
-		peers:    peers,
-		logger:   logger,
-		follower: config.NewFollower(),
+		loader:    config.NewLoader(store),
+		closeIdle: store.Close,
+		timeout:   timeout,
+		syncer:    s,
+		peers:     peers,
+		logger:    logger,
+		follower:  config.NewFollower(),
 	}
 	cfg.publish()
 	return cfg
@@ -112,6 +118,13 @@
 			continue
 		}
 		head, newTag, err := c.readStore(ctx, etag)
+		if err != nil && etag != "" && ctx.Err() == nil {
+			// The head may have changed. It is read without a watch, on a new connection.
+			c.logger.Warn("watch on the head failed", "err", err)
+			c.closeIdle()
+			etag = ""
+			continue
+		}
 		c.storeFailed.Store(err != nil && !errors.Is(err, config.ErrNoVersion))
 		if err != nil {
 			if c.storeFailed.Load() {
@@ -142,7 +155,7 @@
 		defer cancel()
 		return c.loader.Head(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchOverdue)
 	defer cancel()
 	return c.loader.WatchHead(ctx, etag, watchWait)
 }
