--- a/linger/conn.go
+++ b/linger/conn.go
@@ -32,12 +32,13 @@
 	// ending is set when the server is to read no further byte, because the connection holds an
 	// unread body.
 	ending bool
-	// unfinished is set while the connection carries an answer whose end its close would feign.
+	// unfinished is set while an answer is being written that the client would take for whole if the
+	// connection closed now.
 	unfinished bool
 	once       sync.Once
 }
 
-// setUnfinished makes every close reset the connection, or ends that.
+// setUnfinished sets whether every close of the connection is to reset it.
 func (c *conn) setUnfinished(unfinished bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/watch/calls.go
+++ b/watch/calls.go
@@ -83,7 +83,7 @@
 	checkDue              *time.Ticker
 	checking              bool
 	// hintDue fires when a hint that somebody else has newer objects is old enough that the watch should
-	// have brought them; hinted is set from the hint until the list that follows it is answered.
+	// have brought them; hinted is set from the hint until the list that follows it has ended.
 	hintDue *time.Timer
 	hinted  bool
 	// late is the kind of the call that got no response in time last; empty once it got one.
@@ -156,6 +156,9 @@
 		return r.checkEnds(result)
 	}
 	r.waiting = slices.DeleteFunc(r.waiting, func(c startedCall) bool { return c.id == result.id })
+	if result.kind == listCall {
+		r.hinted = false
+	}
 	if result.err != nil {
 		return len(r.waiting) == 0
 	}
@@ -171,7 +174,7 @@
 	// The list shows nothing new, and a change may be on its way to the watch. The watch may have failed
 	// or be dead, so another one starts.
 	r.options.Progress.confirm(result, r.from)
-	r.late, r.hinted = "", false
+	r.late = ""
 	r.options.Progress.forgetHint()
 	r.overdue.Reset(r.options.Wait + r.options.Overdue)
 	if overtaken || r.count(watchCall) == 0 {
