platform: a failing test of the wide configuration over a narrow link

The test has 12 nodes that share 700 KB/s towards them; the link carries the configuration to all in 1.8 s. On this code it is in force on none of them after 5 s, in four of four runs: every response is given up after max_age, and further lists are started meanwhile.

standin/link gets a bandwidth that several connections share; a receiver that is gone frees it.

--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -45,6 +45,15 @@
 	conns  map[*net.TCPConn]struct{}
 	// silent is closed, and replaced, to cut the connections that are open now.
 	silent chan struct{}
+	// toClient limits the bytes to clients; nil means no limit.
+	toClient *Bandwidth
+}
+
+// NewLimited returns a relay to target whose bytes to clients share the bandwidth. It injects no faults.
+func NewLimited(target string, toClient *Bandwidth) *Relay {
+	l := New(target)
+	l.toClient = toClient
+	return l
 }
 
 // New returns a relay to target.
@@ -117,7 +126,13 @@
 	var wg sync.WaitGroup
 	silent := l.silenced()
 	wg.Go(func() { l.forward(target, client, silent, func(f Faults) Direction { return f.ToTarget }) })
-	wg.Go(func() { l.forward(client, target, silent, func(f Faults) Direction { return f.ToClient }) })
+	wg.Go(func() {
+		if l.toClient != nil {
+			l.toClient.forwardLimited(client, target)
+			return
+		}
+		l.forward(client, target, silent, func(f Faults) Direction { return f.ToClient })
+	})
 	wg.Wait()
 }
 
