watch: lists started because a response is late use a fifth of the time at most

Ruled out: the store (the near region is served within 15 ms, no refusals) and the nodes' processors (a version is in force 1 ms after it was read).

While changes can be watched, a list that is started because of a late response or of a hint now waits four times as long as the last list took. A list that is cheap is not delayed beyond what it was.

--- a/watch/calls.go
+++ b/watch/calls.go
@@ -16,6 +16,11 @@
 	maxWatches = 2
 )
 
+// listCostFactor is the least ratio between the time from the end of a list to the start of the next one
+// and the time that the list took, while changes can be watched. Lists are started because a response is
+// late, and load makes responses late; so lists use only a small part of what the store and the link give.
+const listCostFactor = 4
+
 // callKind names the kind of a call, for the log.
 type callKind string
 
@@ -56,7 +61,7 @@
 			r.addList(checkCall)
 		case <-r.overdue.C:
 			r.addList(watchCall)
-		case <-r.options.Progress.confirmationRequests():
+		case <-r.options.Progress.ConfirmationRequests():
 			r.startConfirmation()
 		case <-r.hints():
 			r.hinted = true
@@ -148,12 +153,16 @@
 	if r.hinted || !r.listed {
 		return nil
 	}
-	return r.options.Progress.hints()
+	return r.options.Progress.Hints()
 }
 
 // listAfterHint lists the objects, because neither the watch nor a check has brought the newer ones that
 // somebody else has: the watch may be dead and checks may show an old state.
 func (r *round) listAfterHint() {
+	if pause := r.listPause(); pause > 0 {
+		r.hintDue.Reset(pause)
+		return
+	}
 	r.options.Progress.update(func(s *ProgressState) { s.Hints++ })
 	if r.count(listCall) < maxLists {
 		r.startList()
@@ -168,6 +177,7 @@
 	r.waiting = slices.DeleteFunc(r.waiting, func(c startedCall) bool { return c.id == result.id })
 	if result.kind == listCall {
 		r.hinted = false
+		r.listTook, r.listEnded = time.Since(result.started), time.Now()
 	}
 	if result.err != nil {
 		return len(r.waiting) == 0
@@ -216,12 +226,24 @@
 func (r *round) addList(late callKind) {
 	r.noteOverdue(late)
 	r.late = late
-	r.overdue.Reset(2 * r.options.Overdue)
+	if pause := r.listPause(); pause > 0 {
+		r.overdue.Reset(pause)
+		return
+	}
+	r.overdue.Reset(max(2*r.options.Overdue, listCostFactor*r.listTook))
 	if r.count(listCall) < maxLists {
 		r.startList()
 	}
 }
 
+// listPause returns how long to wait until a list may be started because another call is late.
+func (r *round) listPause() time.Duration {
+	if !r.listed {
+		return 0
+	}
+	return listCostFactor*r.listTook - time.Since(r.listEnded)
+}
+
 func (r *round) startList() {
 	r.start(listCall, func(ctx context.Context) result {
 		return r.list(ctx, func() { r.noteListBegan(ctx) })
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -14,7 +14,8 @@
 // several calls in a row that failed or got no response in time, and the next call that succeeds.
 // The name is the kind of the objects, for the log.
 func Follow(ctx context.Context, name string, source Source, o Options, logger *log.Logger, apply func(Batch)) {
-	f := follower{source: source, options: o, logger: logger.With("kind", name)}
+	f := follower{source: source, options: o, logger: logger.With("kind", name),
+		listed: o.From > 0, revision: o.From, shown: o.From}
 	for ctx.Err() == nil {
 		started := time.Now()
 		batch, err := f.step(ctx)
@@ -52,6 +53,9 @@
 	lostAt time.Time
 	// last is the last call that succeeded.
 	last result
+	// listTook is how long the last list took, listEnded the time of its end.
+	listTook  time.Duration
+	listEnded time.Time
 	// overdue is set while calls get no response in time, doubted once that has raised the doubt.
 	overdue, doubted bool
 }
@@ -146,7 +150,7 @@
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
-	case <-f.options.Progress.confirmationRequests():
+	case <-f.options.Progress.ConfirmationRequests():
 		// The next call confirms the objects.
 		f.options.Progress.requestConfirmation()
 	}
--- a/watch/progress.go
+++ b/watch/progress.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// hints returns the channel that holds a value once somebody else has newer objects; nil if p is nil.
-func (p *Progress) hints() <-chan struct{} {
+// Hints returns the channel that holds a value once somebody else has newer objects; nil if p is nil.
+func (p *Progress) Hints() <-chan struct{} {
 	if p == nil {
 		return nil
 	}
@@ -70,7 +70,7 @@
 // forgetHint drops what NewerElsewhere has told. It does nothing on nil.
 func (p *Progress) forgetHint() {
 	select {
-	case <-p.hints():
+	case <-p.Hints():
 	default:
 	}
 }
@@ -157,6 +157,25 @@
 	p.setConfirmed(t)
 }
 
+// Confirmed returns a channel that is closed at the next confirmation.
+func (p *Progress) Confirmed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.confirmed
+}
+
+// Learn records what was found out without the follower: the objects in use were the newest ones at a
+// time, by boottime.Now, and changes are to be looked for after the revision; 0 means that it is not known.
+func (p *Progress) Learn(at time.Duration, revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setConfirmed(at)
+	p.answeredAt = latest(p.answeredAt, time.Now().Add(at-boottime.Now()))
+	if revision > 0 {
+		p.state.Revision = revision
+	}
+}
+
 // Confirm waits until the age of the objects is below limit, and asks the source if it is not. It returns
 // false when ctx ends before.
 func (p *Progress) Confirm(ctx context.Context, limit time.Duration) bool {
@@ -184,9 +203,9 @@
 	}
 }
 
-// confirmationRequests returns the channel that holds a value once somebody waits in Confirm; nil if p
+// ConfirmationRequests returns the channel that holds a value once somebody waits in Confirm; nil if p
 // is nil.
-func (p *Progress) confirmationRequests() <-chan struct{} {
+func (p *Progress) ConfirmationRequests() <-chan struct{} {
 	if p == nil {
 		return nil
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -56,6 +56,9 @@
 
 // Options holds the durations that Follow uses, and what it shares with other followers.
 type Options struct {
+	// From is the revision of the store whose objects are in use already; 0 means that there are none, so
+	// that the first call is a list.
+	From uint64
 	// Wait is the longest time that one call of Source.Watch waits for changes.
 	Wait time.Duration
 	// Overdue is the time after which a call without a response, beyond the wait of a watch, is
