--- a/config/follower.go
+++ b/config/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -197,6 +198,7 @@
 		return nil, err
 	}
 	s := &Snapshot{version: f.target.Version, routes: routes, organisations: organisations, pools: f.snapshot.pools}
+	s.digest = sync.OnceValue(s.computeDigest)
 	s.matcher = f.snapshot.matcher.Replace(removed, added)
 	if !slices.Equal(f.rowPages[Pools], rowPages[Pools]) {
 		s.pools = newPoolSet(slices.Concat(pools...))
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"sync"
 
 	"github.com/jackdawlane/jackdawlane/organisation"
 	"github.com/jackdawlane/jackdawlane/pool"
@@ -28,6 +29,8 @@
 	// byKey holds the positions of the organisations that have API keys, in the only page of organisations.
 	// Copies of them would double the memory of a snapshot with 160,000 organisations.
 	byKey map[organisation.Hash]uint32
+	// digest returns the digest of the rows.
+	digest func() Digest
 }
 
 // rowTable holds the rows of a table by page. No page is empty, and keys ascend within a page and
@@ -55,7 +58,23 @@
 	}
 	sorted := slices.Clone(rows)
 	slices.SortFunc(sorted, func(a, b T) int { return strings.Compare(a.Key(), b.Key()) })
-	return rowTable[T]{sorted}
+	return pageOf(sorted)
+}
+
+// pageOf returns a table of one page that holds rows, which are sorted by key.
+func pageOf[T rowValue](rows []T) rowTable[T] {
+	if len(rows) == 0 {
+		return nil
+	}
+	return rowTable[T]{rows}
+}
+
+// rows returns all rows in the order of their keys. The caller must not change them.
+func (t rowTable[T]) rows() []T {
+	if len(t) == 1 {
+		return t[0]
+	}
+	return slices.Concat(t...)
 }
 
 // poolSet holds the pools of a version. They are few enough to build a new set when one changes.
@@ -86,6 +105,7 @@
 	if s.HasOrganisations() {
 		s.byKey = indexKeys(s.organisations[0])
 	}
+	s.digest = sync.OnceValue(s.computeDigest)
 	return s
 }
 
@@ -142,6 +162,9 @@
 	return s.organisations.find(name)
 }
 
+// Organisations returns all organisations in the order of their names. The caller must not change them.
+func (s *Snapshot) Organisations() []organisation.Organisation { return s.organisations.rows() }
+
 // OrganisationByKey returns the organisation that holds the API key with the given hash; false when
 // none does.
 func (s *Snapshot) OrganisationByKey(h organisation.Hash) (organisation.Organisation, bool) {
@@ -170,3 +193,9 @@
 	}
 	return false
 }
+
+// CallerLimits bounds the size of a caller's requests; 0 means no limit.
+type CallerLimits struct {
+	HeaderBytes int64 `json:"header_bytes,omitempty"`
+	BodyBytes   int64 `json:"body_bytes,omitempty"`
+}
