relay, platform: nodes of a region get the configuration from each other

Cause: each node reads the whole object of the configuration for each change, over the one link that its region shares, and reads it again when a response is late. One change of one route costs the link nodes x size; 51 nodes and 250 KB are 12.8 MB, 1.7 s of the link, and the lists that follow keep it full.

Change: three nodes of each region, chosen by a hash of their IDs, read the store. The others ask these, or at size nodes that ask these, for what changed since their version (package relay) and get the changed rows, or all of them once, compressed. A reply states how long ago the sender knew that its version was the newest one. Without a fresh reply a node asks the other sources and then reads the changes from the store itself, ever more rarely while that fails; readers that are lost for good are replaced. There is no coordinator and no further state: each node computes the tree from the records that it has.

--- a/hop/hop.go
+++ b/hop/hop.go
@@ -57,6 +57,14 @@
 	HeaderConfigVersion = "Jackdawlane-Config-Version"
 	// HeaderConfigAge is the time since that version was known to be the newest one, in milliseconds.
 	HeaderConfigAge = "Jackdawlane-Config-Age-Ms"
+	// HeaderConfigPoll makes a request to the hop address one for updates of the configuration since the
+	// version in HeaderConfigVersion. Its value is the time for which the reply may wait for a change, in
+	// milliseconds.
+	HeaderConfigPoll = "Jackdawlane-Config-Poll-Ms"
+	// HeaderConfigHeld is the time for which the reply to such a request has waited, in milliseconds.
+	HeaderConfigHeld = "Jackdawlane-Config-Held-Ms"
+	// HeaderConfigRevision is the revision of the store after which the replying node looks for changes.
+	HeaderConfigRevision = "Jackdawlane-Config-Revision"
 	// HeaderGrant is "true" when the guard has charged the next attempt of the request to its
 	// own part of the repeat budget, so that the next guard does not charge it again.
 	HeaderGrant = "Jackdawlane-Grant"
--- /dev/null
+++ b/relay/client.go
@@ -0,0 +1,342 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/jackdawlane/jackdawlane/boottime"
+	"github.com/jackdawlane/jackdawlane/exchange"
+	"github.com/jackdawlane/jackdawlane/hop"
+	"github.com/jackdawlane/jackdawlane/watch"
+)
+
+const (
+	// maxReplyBytes bounds the encoded updates of one reply.
+	maxReplyBytes = 16 << 20
+	// maxIdleConnections is the number of idle connections kept to each node.
+	maxIdleConnections = 1
+	// listTimeShare is how long a read of the store by a node that is not a reader may take.
+	listTimeShare = 2
+	// nodesShare is how long a node waits at its start for the list of the other nodes.
+	nodesShare = 0.5
+)
+
+// errReply means that a node did not reply to a request for updates as it should.
+var errReply = errors.New("no usable reply to a request for updates")
+
+// Config holds the settings and dependencies of a client.
+type Config struct {
+	Self Node
+	// MaxAge is the time within which a change must be in force.
+	MaxAge   time.Duration
+	Replica  *Replica
+	Progress *watch.Progress
+	// Store reads the configuration from the store.
+	Store watch.Source
+	// Apply puts what Store returned in force.
+	Apply func(watch.Batch)
+	// Follow follows the store until ctx ends, from the revision that Progress has. It runs while the node is
+	// a reader.
+	Follow  func(ctx context.Context)
+	Metrics Metrics
+	Logger  *log.Logger
+}
+
+// Client keeps the configuration of a node up to date.
+type Client struct {
+	config    Config
+	transport *http.Transport
+	// mu guards the selector.
+	mu       sync.Mutex
+	selector *Selector
+	// known is closed once the nodes of the region are known.
+	known     chan struct{}
+	knownOnce sync.Once
+	// stopFollowing ends Config.Follow; nil while it does not run.
+	stopFollowing func()
+	// shown is the revision that the last read of the store claims to show.
+	shown uint64
+	// needsAll is set after updates that could not be applied.
+	needsAll bool
+	// lost is set while requests for updates fail, for the log.
+	lost bool
+}
+
+// NewClient returns a client that is not yet running.
+func NewClient(c Config) *Client {
+	return &Client{
+		config:    c,
+		transport: exchange.NewTransport(c.MaxAge, 0, maxIdleConnections),
+		selector:  NewSelector(c.Self, c.MaxAge, nil),
+		known:     make(chan struct{}),
+	}
+}
+
+// SetNodes replaces the nodes of the region.
+func (c *Client) SetNodes(nodes []Node) {
+	c.mu.Lock()
+	c.selector.SetNodes(boottime.Now(), nodes)
+	c.mu.Unlock()
+	c.knownOnce.Do(func() { close(c.known) })
+}
+
+// Run keeps the configuration up to date until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	defer c.transport.CloseIdleConnections()
+	select {
+	case <-c.known:
+	case <-time.After(time.Duration(nodesShare * float64(c.config.MaxAge))):
+	case <-ctx.Done():
+	}
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		action, reader := c.selector.Next(boottime.Now()), c.selector.Reader()
+		c.mu.Unlock()
+		c.setFollowing(ctx, reader)
+		c.do(ctx, action, reader)
+	}
+	c.setFollowing(ctx, false)
+}
+
+// setFollowing starts or ends Config.Follow.
+func (c *Client) setFollowing(ctx context.Context, follow bool) {
+	if follow == (c.stopFollowing != nil) {
+		return
+	}
+	c.config.Logger.Info("configuration reader", "reads_store", follow)
+	if !follow {
+		c.stopFollowing()
+		c.stopFollowing = nil
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.config.Follow(ctx)
+	}()
+	c.stopFollowing = func() { cancel(); <-done }
+}
+
+func (c *Client) do(ctx context.Context, a Action, reader bool) {
+	switch {
+	case a.Source.ID != "":
+		c.ask(ctx, a, reader)
+	case a.ReadStore:
+		c.readStore(ctx, a.List)
+	default:
+		c.interruptible(ctx, reader, func(ctx context.Context) { sleep(ctx, a.Pause) })
+	}
+}
+
+// interruptible runs f until somebody needs the configuration to be confirmed, or has a newer one. A reader
+// leaves these cases to Config.Follow.
+func (c *Client) interruptible(ctx context.Context, reader bool, f func(ctx context.Context)) {
+	if reader {
+		f(ctx)
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f(ctx)
+	}()
+	confirm := false
+	select {
+	case <-done:
+	case <-c.config.Progress.Hints():
+		c.update(func(s *Selector) { s.Behind() })
+	case <-c.config.Progress.ConfirmationRequests():
+		confirm = true
+	}
+	cancel()
+	<-done
+	c.mu.Lock()
+	confirm = confirm && c.selector.MayRead(boottime.Now())
+	c.mu.Unlock()
+	if confirm {
+		c.readStore(ctx, false)
+	}
+}
+
+func (c *Client) update(change func(*Selector)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(c.selector)
+}
+
+// ask asks a node for updates and applies them.
+func (c *Client) ask(ctx context.Context, a Action, reader bool) {
+	var reply reply
+	var err error
+	interrupted := false
+	c.interruptible(ctx, reader, func(ctx context.Context) {
+		reply, err = c.request(ctx, a)
+		interrupted = ctx.Err() != nil
+	})
+	if interrupted {
+		return
+	}
+	if err == nil {
+		err = c.accept(a.Source, reply)
+	}
+	c.note(a.Source, err)
+	if err != nil {
+		c.config.Metrics.Add("relay.failed", 1)
+		c.update(func(s *Selector) { s.Failed(boottime.Now(), a.Source) })
+		return
+	}
+	own := c.config.Replica.State().Version()
+	c.update(func(s *Selector) { s.Replied(a.Source, reply.age, reply.version >= own && own > 0) })
+}
+
+// note logs the first of several requests in a row that failed, and the next one that succeeds.
+func (c *Client) note(n Node, err error) {
+	if (err != nil) == c.lost {
+		return
+	}
+	c.lost = err != nil
+	if c.lost {
+		c.config.Logger.Warn("configuration relay lost", "relay", n.ID, "err", err.Error())
+		return
+	}
+	c.config.Logger.Info("configuration relay regained", "relay", n.ID)
+}
+
+// reply is the reply to a request for updates.
+type reply struct {
+	version, revision uint64
+	// age is the age of the sender's knowledge when the request was sent or later, confirmedAt the time, by
+	// boottime.Now, at which its version was the newest one.
+	age         time.Duration
+	confirmedAt time.Duration
+	updates     []byte
+}
+
+// request sends a request for updates and reads the reply.
+func (c *Client) request(ctx context.Context, a Action) (reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := time.AfterFunc(a.Timeout, cancel)
+	defer timeout.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Source.Address+"/", http.NoBody)
+	if err != nil {
+		return reply{}, err
+	}
+	version := c.config.Replica.State().Version()
+	if c.needsAll {
+		version = 0
+	}
+	req.Header = http.Header{
+		hop.HeaderConfigPoll:    {formatMS(a.Wait)},
+		hop.HeaderConfigVersion: {strconv.FormatUint(version, 10)},
+		hop.HeaderConfigAge:     {formatMS(c.config.Progress.Age())},
+		// Without a value the transport would add a header that nodes do not read.
+		"User-Agent": nil,
+	}
+	c.config.Metrics.Add("relay.requests", 1)
+	sentAt := boottime.Now()
+	res, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer res.Body.Close()
+	// The node replies; updates may take longer to arrive than a reply without any.
+	timeout.Reset(c.config.MaxAge)
+	return readReply(res, sentAt)
+}
+
+func readReply(res *http.Response, sentAt time.Duration) (reply, error) {
+	if res.StatusCode != http.StatusOK {
+		return reply{}, errors.Wrapf(errReply, "status %d", res.StatusCode)
+	}
+	version, versionErr := strconv.ParseUint(res.Header.Get(hop.HeaderConfigVersion), 10, 64)
+	revision, revisionErr := strconv.ParseUint(res.Header.Get(hop.HeaderConfigRevision), 10, 64)
+	age, ageOK := parseMS(res.Header.Get(hop.HeaderConfigAge))
+	held, heldOK := parseMS(res.Header.Get(hop.HeaderConfigHeld))
+	if versionErr != nil || revisionErr != nil || !ageOK || !heldOK {
+		return reply{}, errors.Wrap(errReply, "headers are missing")
+	}
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	// The sender formed the reply at the earliest the time that it held the request after the start.
+	return reply{version: version, revision: revision, age: age, confirmedAt: sentAt + held - age, updates: data}, err
+}
+
+// accept applies the updates of a reply and takes over what it tells about the version in force.
+func (c *Client) accept(from Node, r reply) error {
+	if len(r.updates) > 0 {
+		started := time.Now()
+		version, rows, err := c.config.Replica.Apply(r.updates)
+		c.needsAll = err != nil
+		if err != nil {
+			return err
+		}
+		if rows > 0 {
+			c.update(func(s *Selector) { s.Advanced() })
+			c.config.Logger.Info("configuration updated", "version", version, "relay", from.ID, "rows", rows,
+				"bytes", len(r.updates), "applied_ms", time.Since(started).Milliseconds())
+		}
+		c.config.Metrics.Add("relay.updates", 1)
+		c.config.Metrics.Add("relay.update_bytes", int64(len(r.updates)))
+	}
+	if r.version > 0 && r.version == c.config.Replica.State().Version() {
+		c.config.Progress.Learn(r.confirmedAt, r.revision)
+	}
+	return nil
+}
+
+// readStore reads the changes since the revision that is known, or all of the configuration if the changes
+// are not known and list is set.
+func (c *Client) readStore(ctx context.Context, list bool) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeShare*c.config.MaxAge)
+	defer cancel()
+	c.config.Metrics.Add("relay.store_reads", 1)
+	sentAt := boottime.Now()
+	revision := c.config.Progress.State().Revision
+	batch, err := watch.Batch{}, watch.ErrHistoryGone
+	if revision > 0 {
+		batch, err = c.config.Store.Watch(ctx, revision, 0)
+	}
+	listed := list && errors.Is(err, watch.ErrHistoryGone)
+	if listed {
+		c.config.Metrics.Add("relay.lists", 1)
+		batch, err = c.config.Store.List(ctx, func() {})
+	}
+	if err == nil {
+		c.config.Apply(batch)
+		c.config.Progress.Learn(sentAt, c.nextRevision(batch, revision))
+	}
+	c.update(func(s *Selector) { s.StoreRead(boottime.Now(), err == nil, listed) })
+}
+
+// nextRevision returns the revision after which the next read looks for changes. A response without
+// objects may lack a change, so its revision counts only from the next read on.
+func (c *Client) nextRevision(b watch.Batch, revision uint64) uint64 {
+	if b.Full {
+		c.shown = b.Revision
+		return b.Revision
+	}
+	revision = max(revision, c.shown)
+	for _, o := range b.Objects {
+		revision = max(revision, o.Revision)
+	}
+	c.shown = b.Revision
+	return revision
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
