platform: bound the memory of the store's responses

What operators of a similar system reported: bytes without end from a faulty server end the process that called it, and with it the requests of all its clients. The store does: each call kept a head of up to 10 MB and a body of up to 64 MB, and several calls run at the same time.

--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -19,6 +19,9 @@
 // MaxValueBytes is the size of the largest value that the store accepts.
 const MaxValueBytes = 1 << 20
 
+// maxHeadBytes bounds the head of a response. The default of http.Transport is 10 MB for each call.
+const maxHeadBytes = 64 << 10
+
 // maxIdleConnections allows parallel page reads to reuse their connections.
 const maxIdleConnections = 16
 
@@ -63,7 +66,12 @@
 
 // New returns a client of the object store at an address.
 func New(address netip.AddrPort) *Client {
-	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{address: address, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
--- a/relay/client.go
+++ b/relay/client.go
@@ -19,7 +19,7 @@
 
 const (
 	// maxReplyBytes bounds the encoded updates of one reply.
-	maxReplyBytes = 16 << 20
+	maxReplyBytes = 8 << 20
 	// maxIdleConnections is the number of idle connections kept to each node.
 	maxIdleConnections = 1
 	// listTimeShare is how long a read of the store by a node that is not a reader may take.
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -20,7 +20,7 @@
 	// maxUpdates bounds the updates that are kept for nodes that have an earlier version.
 	maxUpdates = 32
 	// maxUpdateBytes bounds the decoded size of the updates in one reply.
-	maxUpdateBytes = 64 << 20
+	maxUpdateBytes = 48 << 20
 )
 
 // ErrUpdate means that a sequence of updates cannot be decoded or applied.
