relay: updates that the store was faster with are left out

A reader that has read a version from the store gets a reply with the same update; it took that for one that does not fit, and asked for all of the configuration. TestUpdatesThatOverlapAreApplied failed before (ErrPatch).

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -70,6 +70,21 @@
 	assert.Equal(t, len(data), 0)
 }
 
+// Guards against updates that are given up, and all of the configuration that is asked for in their place,
+// because the store was faster with a part of them.
+func TestUpdatesThatOverlapAreApplied(t *testing.T) {
+	sender := newReplica(2, 3, 5, 9)
+	_, data, err := sender.UpdatesSince(2)
+	assert.NilError(t, err)
+	for _, version := range []uint64{3, 5, 9} {
+		receiver := newReplica(2, version)
+		got, _, err := receiver.Apply(data)
+		assert.NilError(t, err)
+		assert.Equal(t, got, uint64(9))
+		assert.Equal(t, receiver.State().Snapshot.Digest(), sender.State().Snapshot.Digest())
+	}
+}
+
 // Guards against an older configuration, or one of odd bytes, that replaces the one in force.
 func TestUpdatesNeverGoBack(t *testing.T) {
 	r := newReplica(5)
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -9,6 +9,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -168,6 +169,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	state := r.state
+	// The store, or another node, may have been faster than the reply.
+	received := len(updates)
+	updates = slices.DeleteFunc(updates, func(u update) bool { return u.To <= state.Version() })
+	if len(updates) == 0 {
+		return state.Version(), 0, nil
+	}
 	for _, u := range updates {
 		snapshot, err := state.Snapshot.Apply(u.Patch)
 		if err != nil {
@@ -176,12 +183,8 @@
 		state = State{Snapshot: snapshot, Limits: u.Limits}
 		rows += u.Rows()
 	}
-	if state.Version() <= r.state.Version() {
-		// The store, or another node, was faster.
-		return r.state.Version(), 0, nil
-	}
 	r.putInForce(state, func(previous *config.Snapshot) ([]byte, error) {
-		if updates[0].From != 0 {
+		if len(updates) == received && updates[0].From != 0 {
 			return data, nil
 		}
 		return encode(update{Patch: state.Snapshot.PatchFrom(previous), Limits: state.Limits})
