relay: a read of the changes gives up after half of max_age

A call that a silent store has accepted gets no response after the silence either. A node that is not a reader waited up to twice max_age for it before it made another one; lists, which are long, still may.

--- a/relay/client.go
+++ b/relay/client.go
@@ -22,7 +22,10 @@
 	maxReplyBytes = 8 << 20
 	// maxIdleConnections is the number of idle connections kept to each node.
 	maxIdleConnections = 1
-	// listTimeShare is how long a read of the store by a node that is not a reader may take.
+	// readTimeShare is how long a read of the changes from the store by a node that is not a reader may take,
+	// listTimeShare how long one of all of the configuration may. A store that has been silent answers new
+	// calls only.
+	readTimeShare = 0.5
 	listTimeShare = 2
 	// nodesShare is how long a node waits at its start for the list of the other nodes.
 	nodesShare = 0.5
@@ -187,7 +190,11 @@
 	default:
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, listTimeShare*c.config.MaxAge)
+	share := readTimeShare
+	if list {
+		share = listTimeShare
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(share*float64(c.config.MaxAge)))
 	done := make(chan struct{})
 	c.reading, c.stopReading = done, cancel
 	c.update(func(s *Selector) { s.ReadStarted() })
