relay, hop: one file for each job, one way to read milliseconds

relay's client is split into its loop, the request for updates, and the read of the store. Package permit and package relay parsed times in headers by functions of their own; both use those of hop now.

--- a/permit/message.go
+++ b/permit/message.go
@@ -73,7 +73,8 @@
 // parseReply parses a reply to a request for a number of permits. A malformed reply grants nothing.
 func parseReply(h http.Header, requested int) quota.Reply {
 	reply := quota.Reply{Result: quota.Result(h.Get(hop.HeaderPermit))}
-	reply.Again, reply.Handover = parseMS(h.Get(hop.HeaderAgainMS)), parseMS(h.Get(hop.HeaderPermitHandoverMS))
+	reply.Again, _ = hop.ParseMS(h.Get(hop.HeaderAgainMS))
+	reply.Handover, _ = hop.ParseMS(h.Get(hop.HeaderPermitHandoverMS))
 	switch reply.Result {
 	case quota.Empty, quota.NotOwner, quota.Unknown:
 		return reply
@@ -93,15 +94,6 @@
 	return reply
 }
 
-// parseMS parses a time in milliseconds. Without a valid value it returns 0.
-func parseMS(text string) time.Duration {
-	ms, err := strconv.ParseUint(text, 10, 32)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(ms) * time.Millisecond
-}
-
 // Handler returns a handler that replies to requests about permits and passes all others to next.
 func (n *Node) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -123,7 +115,8 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		writeReply(h, n.grant(name, parseMS(r.Header.Get(hop.HeaderPermitHandoverMS)), count))
+		handover, _ := hop.ParseMS(r.Header.Get(hop.HeaderPermitHandoverMS))
+		writeReply(h, n.grant(name, handover, count))
 	case hop.PermitReturn:
 		receipt, ok := quota.ParseReceipt(r.Header.Get(hop.HeaderPermitReceipt))
 		if !ok {
--- a/relay/client.go
+++ b/relay/client.go
@@ -2,38 +2,24 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 
 	"github.com/jackdawlane/jackdawlane/boottime"
 	"github.com/jackdawlane/jackdawlane/exchange"
-	"github.com/jackdawlane/jackdawlane/hop"
 	"github.com/jackdawlane/jackdawlane/watch"
 )
 
 const (
-	// maxReplyBytes bounds the encoded updates of one reply.
-	maxReplyBytes = 8 << 20
 	// maxIdleConnections is the number of idle connections kept to each node.
 	maxIdleConnections = 1
-	// readTimeShare is how long a read of the changes from the store by a node that is not a reader may take,
-	// listTimeShare how long one of all of the configuration may. A store that has been silent answers new
-	// calls only.
-	readTimeShare = 0.5
-	listTimeShare = 2
 	// nodesShare is how long a node waits at its start for the list of the other nodes.
 	nodesShare = 0.5
 )
 
-// errReply means that a node did not reply to a request for updates as it should.
-var errReply = errors.New("no usable reply to a request for updates")
-
 // Config holds the settings and dependencies of a client.
 type Config struct {
 	Self Node
@@ -182,29 +168,6 @@
 	}
 }
 
-// startRead starts a read of the store, unless one is running. Sources are asked meanwhile: they may have a
-// change although this node waits for the store.
-func (c *Client) startRead(ctx context.Context, list bool) {
-	select {
-	case <-c.reading:
-	default:
-		return
-	}
-	share := readTimeShare
-	if list {
-		share = listTimeShare
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(share*float64(c.config.MaxAge)))
-	done := make(chan struct{})
-	c.reading, c.stopReading = done, cancel
-	c.update(func(s *Selector) { s.ReadStarted() })
-	go func() {
-		defer close(done)
-		defer cancel()
-		c.readStore(ctx, list)
-	}()
-}
-
 func (c *Client) update(change func(*Selector)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -254,65 +217,6 @@
 	c.config.Logger.Info("configuration relay regained", "relay", n.ID)
 }
 
-// reply is the reply to a request for updates.
-type reply struct {
-	version, revision uint64
-	// age is the age of the sender's knowledge when the request was sent or later, confirmedAt the time, by
-	// boottime.Now, at which its version was the newest one.
-	age         time.Duration
-	confirmedAt time.Duration
-	updates     []byte
-}
-
-// request sends a request for updates and reads the reply.
-func (c *Client) request(ctx context.Context, a Action) (reply, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timeout := time.AfterFunc(a.Timeout, cancel)
-	defer timeout.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Source.Address+"/", http.NoBody)
-	if err != nil {
-		return reply{}, err
-	}
-	version := c.config.Replica.State().Version()
-	if c.needsAll {
-		version = 0
-	}
-	req.Header = http.Header{
-		hop.HeaderConfigPoll:    {formatMS(a.Wait)},
-		hop.HeaderConfigVersion: {strconv.FormatUint(version, 10)},
-		hop.HeaderConfigAge:     {formatMS(c.config.Progress.Age())},
-		// Without a value the transport would add a header that nodes do not read.
-		"User-Agent": nil,
-	}
-	c.config.Metrics.Add("relay.requests", 1)
-	sentAt := boottime.Now()
-	res, err := c.transport.RoundTrip(req)
-	if err != nil {
-		return reply{}, err
-	}
-	defer res.Body.Close()
-	// The node replies; updates may take longer to arrive than a reply without any.
-	timeout.Reset(c.config.MaxAge)
-	return readReply(res, sentAt)
-}
-
-func readReply(res *http.Response, sentAt time.Duration) (reply, error) {
-	if res.StatusCode != http.StatusOK {
-		return reply{}, errors.Wrapf(errReply, "status %d", res.StatusCode)
-	}
-	version, versionErr := strconv.ParseUint(res.Header.Get(hop.HeaderConfigVersion), 10, 64)
-	revision, revisionErr := strconv.ParseUint(res.Header.Get(hop.HeaderConfigRevision), 10, 64)
-	age, ageOK := parseMS(res.Header.Get(hop.HeaderConfigAge))
-	held, heldOK := parseMS(res.Header.Get(hop.HeaderConfigHeld))
-	if versionErr != nil || revisionErr != nil || !ageOK || !heldOK {
-		return reply{}, errors.Wrap(errReply, "headers are missing")
-	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
-	// The sender formed the reply at the earliest the time that it held the request after the start.
-	return reply{version: version, revision: revision, age: age, confirmedAt: sentAt + held - age, updates: data}, err
-}
-
 // accept applies the updates of a reply and takes over what it tells about the version in force.
 func (c *Client) accept(from Node, r reply) error {
 	if len(r.updates) > 0 {
@@ -336,43 +240,6 @@
 	return nil
 }
 
-// readStore reads the changes since the revision that is known, or all of the configuration if the changes
-// are not known and list is set.
-func (c *Client) readStore(ctx context.Context, list bool) {
-	c.config.Metrics.Add("relay.store_reads", 1)
-	sentAt := boottime.Now()
-	revision := c.config.Progress.State().Revision
-	batch, err := watch.Batch{}, watch.ErrHistoryGone
-	if revision > 0 {
-		batch, err = c.config.Store.Watch(ctx, revision, 0)
-	}
-	listed := list && errors.Is(err, watch.ErrHistoryGone)
-	if listed {
-		c.config.Metrics.Add("relay.lists", 1)
-		batch, err = c.config.Store.List(ctx, func() {})
-	}
-	if err == nil {
-		c.config.Apply(batch)
-		c.config.Progress.Learn(sentAt, c.nextRevision(batch, revision))
-	}
-	c.update(func(s *Selector) { s.StoreRead(boottime.Now(), err == nil, listed) })
-}
-
-// nextRevision returns the revision after which the next read looks for changes. A response without
-// objects may lack a change, so its revision counts only from the next read on.
-func (c *Client) nextRevision(b watch.Batch, revision uint64) uint64 {
-	if b.Full {
-		c.shown = b.Revision
-		return b.Revision
-	}
-	revision = max(revision, c.shown)
-	for _, o := range b.Objects {
-		revision = max(revision, o.Revision)
-	}
-	c.shown = b.Revision
-	return revision
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/relay/server.go
+++ b/relay/server.go
@@ -59,8 +59,8 @@
 
 func parsePoll(h http.Header) (p poll, ok bool) {
 	version, versionErr := strconv.ParseUint(h.Get(hop.HeaderConfigVersion), 10, 64)
-	age, ageOK := parseMS(h.Get(hop.HeaderConfigAge))
-	wait, waitOK := parseMS(h.Get(hop.HeaderConfigPoll))
+	age, ageOK := hop.ParseMS(h.Get(hop.HeaderConfigAge))
+	wait, waitOK := hop.ParseMS(h.Get(hop.HeaderConfigPoll))
 	return poll{version: version, age: age, wait: min(wait, maxWait)}, versionErr == nil && ageOK && waitOK
 }
 
@@ -86,8 +86,8 @@
 	h["Date"] = nil
 	h.Set(hop.HeaderConfigVersion, strconv.FormatUint(version, 10))
 	// Rounded up, so that nobody takes the version for newer than it is.
-	h.Set(hop.HeaderConfigAge, formatMS(age+time.Millisecond-1))
-	h.Set(hop.HeaderConfigHeld, formatMS(held))
+	h.Set(hop.HeaderConfigAge, hop.FormatMS(age+time.Millisecond-1))
+	h.Set(hop.HeaderConfigHeld, hop.FormatMS(held))
 	h.Set(hop.HeaderConfigRevision, strconv.FormatUint(revision, 10))
 	h.Set("Content-Length", strconv.Itoa(len(data)))
 	s.metrics.Add("relay.served", 1)
@@ -116,11 +116,3 @@
 		}
 	}
 }
-
-func formatMS(d time.Duration) string { return strconv.FormatInt(max(0, d.Milliseconds()), 10) }
-
-// parseMS parses a time in milliseconds.
-func parseMS(text string) (time.Duration, bool) {
-	ms, err := strconv.ParseUint(text, 10, 40)
-	return time.Duration(ms) * time.Millisecond, err == nil
-}
