watch: a follower that is behind reads the newest state instead of all states

Cause: a watch returns each state since its revision, 380 KB each here. While these arrive, further versions are written, which the next watch returns too. When versions come faster than one can be read, the delay grows without bound.

A response with more superseded states than the kind has objects now leads to lists, which hold the newest state only, until one shows nothing newer. Kinds with many objects go on with watches, which are shorter there.

--- a/watch/follow.go
+++ b/watch/follow.go
@@ -51,6 +51,12 @@
 	backoff time.Duration
 	// lostAt is the time of the first of the failed calls in a row; zero if the last call succeeded.
 	lostAt time.Time
+	// objects is the number of objects in the last list.
+	objects int
+	// behind is set from a response with more superseded states of objects than a list has objects on, until a
+	// list shows nothing newer. Changes then come faster than they are read, and lists, which hold only the newest
+	// states, are shorter than what a watch brings.
+	behind bool
 	// last is the last call that succeeded.
 	last result
 	// listTook is how long the last list took, listEnded the time of its end.
@@ -89,9 +95,10 @@
 func (f *follower) advance(r result) {
 	b := r.batch
 	if b.Full {
-		f.revision, f.shown = b.Revision, b.Revision
+		f.revision, f.shown, f.objects = b.Revision, b.Revision, len(b.Objects)
 		return
 	}
+	f.behind = b.superseded() >= max(1, f.objects)
 	if r.kind == watchCall {
 		f.revision = max(f.revision, f.shown)
 	}
--- a/watch/round.go
+++ b/watch/round.go
@@ -75,6 +75,10 @@
 	if f.options.Check == nil {
 		r.checkDue.Stop()
 	}
+	if f.behind {
+		r.startList()
+		return r
+	}
 	r.startWatch()
 	return r
 }
@@ -132,7 +136,7 @@
 	// The list shows nothing new, and a change may be on its way to the watch. The watch may have failed
 	// or be dead, so another one starts.
 	r.options.Progress.confirm(result, r.from)
-	r.late = ""
+	r.late, r.behind = "", false
 	r.options.Progress.forgetHint()
 	r.overdue.Reset(r.options.Wait + r.options.Overdue)
 	if overtaken || r.count(watchCall) == 0 {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -41,6 +41,15 @@
 	return slices.ContainsFunc(b.Objects, func(o Object) bool { return o.Revision > revision })
 }
 
+// superseded returns the number of objects in the batch that a later one of the same name replaces.
+func (b Batch) superseded() int {
+	names := make(map[string]bool, len(b.Objects))
+	for _, o := range b.Objects {
+		names[o.Name] = true
+	}
+	return len(b.Objects) - len(names)
+}
+
 // hasChanges reports whether the batch may change what its reader knows.
 func (b Batch) hasChanges() bool { return b.Full || len(b.Objects) > 0 }
 
