relay: a node without a configuration asks its sources again soon

What callers would see: after a restart of the whole fleet a node serves late. A node whose sources have not started yet paused for a quarter of max_age, and read all of the configuration from the store itself after 0.15 max_age at the earliest, before the readers of a large region have it. It now pauses for 0.04 of max_age until it has a configuration, and leaves the readers a quarter of max_age or more.

TestNodeWithoutConfigurationAsksAgainSoon failed before.

--- a/relay/client.go
+++ b/relay/client.go
@@ -97,6 +97,9 @@
 	}
 	for ctx.Err() == nil {
 		c.mu.Lock()
+		if c.config.Replica.State().Version() > 0 {
+			c.selector.Configured()
+		}
 		action, reader := c.selector.Next(boottime.Now()), c.selector.Reader()
 		c.mu.Unlock()
 		c.setFollowing(ctx, reader)
--- a/relay/selector.go
+++ b/relay/selector.go
@@ -17,8 +17,13 @@
 	// readShare is the pause between two reads of the store while they succeed, and the first one after a
 	// read that failed, which then doubles up to the whole time.
 	readShare = 0.3
-	// retryShare is the pause after all sources have been asked in vain.
+	// retryShare is the pause after all sources have been asked in vain, startShare that of a node that has no
+	// configuration yet: it serves nothing, and its sources may be about to start too.
 	retryShare = 0.25
+	startShare = 0.04
+	// listShare is the first pause before all of the configuration is read. The readers of a region that has just
+	// started have it by then.
+	listShare = 0.5
 	// lostShare is how long a source must have failed until the tree is computed without it.
 	lostShare = 1
 )
@@ -77,6 +82,8 @@
 	next, tried int
 	// behind is set while somebody is known to have a newer version.
 	behind bool
+	// configured is set once the node has a configuration.
+	configured bool
 	// reading is set while a read of the store is running.
 	reading bool
 	// readAt and listAt are the earliest times of the next read of the store and of all of the
@@ -162,9 +169,15 @@
 	if len(s.place.sources) == 0 {
 		return Action{Pause: s.maxAge}
 	}
+	if !s.configured {
+		return Action{Pause: s.share(startShare)}
+	}
 	return Action{Pause: s.share(retryShare)}
 }
 
+// Configured records that the node has a configuration.
+func (s *Selector) Configured() { s.configured = true }
+
 func (s *Selector) state(n Node) *sourceState {
 	state := s.states[n.ID]
 	if state == nil {
@@ -236,11 +249,11 @@
 	if ok {
 		s.readPause, s.readAt = 0, now+s.share(readShare)
 	} else {
-		s.readPause = s.doubled(s.readPause, s.maxAge)
+		s.readPause = doubled(s.readPause, s.share(readShare), s.maxAge)
 		s.readAt = now + s.jittered(s.readPause)
 	}
 	if listed || !ok && s.listAt < 0 {
-		s.listPause = s.doubled(s.listPause, maxListPauses*s.maxAge)
+		s.listPause = doubled(s.listPause, s.share(listShare), maxListPauses*s.maxAge)
 		s.listAt = now + s.jittered(s.listPause)
 	}
 }
@@ -249,8 +262,9 @@
 // reader, as a multiple of the time within which a change must be in force.
 const maxListPauses = 8
 
-func (s *Selector) doubled(pause, limit time.Duration) time.Duration {
-	return min(max(2*pause, s.share(readShare)), limit)
+// doubled returns the pause after another one, from first to limit.
+func doubled(pause, first, limit time.Duration) time.Duration {
+	return min(max(2*pause, first), limit)
 }
 
 // jittered returns a random time around a pause, so that the nodes do not all read at the same time.
--- a/relay/selector_test.go
+++ b/relay/selector_test.go
@@ -146,3 +146,23 @@
 	s.StoreRead(0, true, false)
 	assert.Assert(t, s.Next(0).Wait > 0)
 }
+
+// Guards against a node that serves late after a restart of the whole fleet, because it asks sources that have
+// just started too only after a long pause.
+func TestNodeWithoutConfigurationAsksAgainSoon(t *testing.T) {
+	s, sources := childOf(50)
+	for range sources {
+		s.Failed(0, s.Next(0).Source)
+	}
+	assert.Assert(t, s.Next(0).ReadStore)
+	s.ReadStarted()
+	for range sources {
+		s.Failed(0, s.Next(0).Source)
+	}
+	assert.Assert(t, s.Next(0).Pause < testMaxAge/10)
+	s.Configured()
+	for range sources {
+		s.Failed(0, s.Next(0).Source)
+	}
+	assert.Assert(t, s.Next(0).Pause >= testMaxAge/10)
+}
