relay: connections to sources are opened within the time for a reply

Records outlive VMs, and a connection to such a one was waited for as long as a reply may be held. The opening is now bounded by the 0.15 of max_age that a reply may take beyond that.

--- a/relay/client.go
+++ b/relay/client.go
@@ -66,7 +66,8 @@
 func NewClient(c Config) *Client {
 	return &Client{
 		config:    c,
-		transport: exchange.NewTransport(c.MaxAge, 0, maxIdleConnections),
+		// A VM that is gone answers no packet, while a request may wait longer for its reply.
+		transport: exchange.NewTransport(time.Duration(replyShare*float64(c.MaxAge)), 0, maxIdleConnections),
 		selector:  NewSelector(c.Self, c.MaxAge, nil),
 		known:     make(chan struct{}),
 		reading:   closedChannel(),
