--- a/relay/client.go
+++ b/relay/client.go
@@ -65,7 +65,7 @@
 // NewClient returns a client that is not yet running.
 func NewClient(c Config) *Client {
 	return &Client{
-		config:    c,
+		config: c,
 		// A VM that is gone answers no packet, while a request may wait longer for its reply.
 		transport: exchange.NewTransport(time.Duration(replyShare*float64(c.MaxAge)), 0, maxIdleConnections),
 		selector:  NewSelector(c.Self, c.MaxAge, nil),
