watch: a list that is running is not joined by another one because a check is late

The pause counted from the end of the last list, so while a list was running each late check could start one beside it, up to three. It now counts from the start of the running one: another starts after twice the time that counts as late, or four times what the last list took.

--- a/watch/follow.go
+++ b/watch/follow.go
@@ -59,9 +59,9 @@
 	behind bool
 	// last is the last call that succeeded.
 	last result
-	// listTook is how long the last list took, listEnded the time of its end.
-	listTook  time.Duration
-	listEnded time.Time
+	// listTook is how long the last list took, listEnded the time of its end, listStarted that of the last start.
+	listTook               time.Duration
+	listStarted, listEnded time.Time
 	// overdue is set while calls get no response in time, doubted once that has raised the doubt.
 	overdue, doubted bool
 }
--- a/watch/round.go
+++ b/watch/round.go
@@ -172,21 +172,31 @@
 		r.overdue.Reset(pause)
 		return
 	}
-	r.overdue.Reset(max(2*r.options.Overdue, listCostFactor*r.listTook))
+	r.overdue.Reset(r.listSpacing())
 	if r.count(listCall) < maxLists {
 		r.startList()
 	}
 }
 
-// listPause returns how long to wait until a list may be started because another call is late.
+// listPause returns how long to wait until a list may be started because another call is late. One that is
+// running is joined by another only when it takes far longer than the last one.
 func (r *round) listPause() time.Duration {
 	if !r.listed {
 		return 0
 	}
+	if r.count(listCall) > 0 {
+		return r.listSpacing() - time.Since(r.listStarted)
+	}
 	return listCostFactor*r.listTook - time.Since(r.listEnded)
 }
 
+// listSpacing is the least time between the starts of two lists.
+func (r *round) listSpacing() time.Duration {
+	return max(2*r.options.Overdue, listCostFactor*r.listTook)
+}
+
 func (r *round) startList() {
+	r.listStarted = time.Now()
 	r.start(listCall, func(ctx context.Context) result {
 		return r.list(ctx, func() { r.noteListBegan(ctx) })
 	})
