--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -70,8 +70,7 @@
 	assert.Equal(t, len(data), 0)
 }
 
-// Guards against updates that are given up, and all of the configuration that is asked for in their place,
-// because the store was faster with a part of them.
+// Guards against all rows being asked for because the store was faster with a part of the updates.
 func TestUpdatesThatOverlapAreApplied(t *testing.T) {
 	sender := newReplica(2, 3, 5, 9)
 	_, data, err := sender.UpdatesSince(2)
@@ -178,8 +177,7 @@
 	assert.Assert(t, progress.State().Revision == 7)
 }
 
-// Guards against a node that asks no source while it waits for a store that is silent, and so learns of a
-// change long after its sources.
+// Guards against a node that asks no source while it waits for a silent store, and learns of a change late.
 func TestSilentStoreDoesNotKeepNodeFromItsSources(t *testing.T) {
 	t.Parallel()
 	source, sourceProgress := newReplica(1), watch.NewProgress()
--- a/relay/selector_test.go
+++ b/relay/selector_test.go
@@ -147,8 +147,7 @@
 	assert.Assert(t, s.Next(0).Wait > 0)
 }
 
-// Guards against a node that serves late after a restart of the whole fleet, because it asks sources that have
-// just started too only after a long pause.
+// Guards against a long pause of a node without a configuration whose sources have just started too.
 func TestNodeWithoutConfigurationAsksAgainSoon(t *testing.T) {
 	s, sources := childOf(50)
 	for range sources {
--- a/watch/catchup_test.go
+++ b/watch/catchup_test.go
@@ -39,8 +39,7 @@
 	return b, ctx.Err()
 }
 
-// Guards against a follower that falls ever further behind while changes come faster than a watch brings them
-// one by one.
+// Guards against a follower that falls ever further behind because a watch brings each of many changes.
 func TestChangesInQuickSuccessionAreNotReadOneByOne(t *testing.T) {
 	t.Parallel()
 	const maxAge = 2 * time.Second
--- a/watch/listcost_test.go
+++ b/watch/listcost_test.go
@@ -33,8 +33,7 @@
 	return Batch{Revision: 1}, ctx.Err()
 }
 
-// Guards against lists that follow each other without a pause because responses are late, which they are
-// because of the lists.
+// Guards against lists that follow each other because responses are late, which they are because of the lists.
 func TestLateResponsesDoNotKeepListing(t *testing.T) {
 	t.Parallel()
 	const maxAge, listTime, run = time.Second, 250 * time.Millisecond, 8 * time.Second
