exchange: a reset that a write learned of is no end of the answer

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a whole answer.

Cause: a socket reports its error to one call only. When the write of the upload takes the reset, the next read returns 0 bytes, which conn.Read gave as io.EOF. For a body that ends with its connection that is its regular end.

Change: conn writes to the socket itself, under the lock that orders its reads, and keeps the error by which a write learned that the connection was broken off; each later read that finds no more data returns it. EPIPE is not kept: the peer had ended its stream before it refused to receive more, so what it sent is whole.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -12,16 +12,21 @@
 )
 
 // conn counts the writes that were started on a connection, and sends a request only after the
-// response before it was accepted and while no other bytes have arrived.
+// response before it was accepted and while no other bytes have arrived. A connection that was broken off
+// never ends with io.EOF.
 type conn struct {
 	net.Conn
 	raw syscall.RawConn
-	// mu orders reads from the socket and starts of writes, so that writesAtRead is exact.
+	// mu orders reads from the socket, starts of writes and writes to it, so that writesAtRead and broken are
+	// exact.
 	mu            sync.Mutex
 	writes        int64
 	writesStopped bool
 	// writesAtRead is the number of writes that had been started when a Read last returned data.
 	writesAtRead int64
+	// broken is the error by which a write learned that the connection was broken off; 0 if none did. A socket
+	// reports its error to one call only, and to each later read an end like that of a whole stream.
+	broken syscall.Errno
 	// accepted is closed when the response to the current request is accepted or discarded.
 	accepted chan struct{}
 	// previous is accepted of the request before; it is nil once the current request may be sent.
@@ -66,19 +71,26 @@
 		if n > 0 {
 			c.writesAtRead = c.writes
 		}
+		if n == 0 && failed == nil && c.broken != 0 {
+			failed = c.broken
+		}
 		return failed != unix.EAGAIN
 	})
 	switch {
 	case err != nil:
 		return 0, err
 	case failed != nil:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", failed)}
+		return 0, c.opError("read", failed)
 	case n == 0 && len(p) > 0:
 		return 0, io.EOF
 	}
 	return n, nil
 }
 
+func (c *conn) opError(op string, err error) error {
+	return &net.OpError{Op: op, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError(op, err)}
+}
+
 // Write implements io.Writer. The first write of a request fails, without sending anything, when
 // bytes have arrived before it: they belong to no request.
 func (c *conn) Write(p []byte) (int, error) {
@@ -93,7 +105,44 @@
 		c.Close()
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(p)
+	return c.writeAll(p)
+}
+
+// writeAll writes p to the socket.
+func (c *conn) writeAll(p []byte) (written int, err error) {
+	var failed error
+	err = c.raw.Write(func(fd uintptr) bool {
+		for written < len(p) && failed == nil {
+			var n int
+			n, failed = c.writePart(int(fd), p[written:])
+			written += n
+		}
+		if failed == unix.EAGAIN {
+			failed = nil
+			return false
+		}
+		return true
+	})
+	switch {
+	case err != nil:
+		return written, err
+	case failed != nil:
+		return written, c.opError("write", failed)
+	}
+	return written, nil
+}
+
+// writePart writes as much of p as the socket takes. It returns unix.EAGAIN when that is nothing.
+func (c *conn) writePart(fd int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := send(fd, p)
+	failed, ok := err.(syscall.Errno)
+	// After unix.EPIPE the stream from the peer is whole: the peer ended it before it refused to receive more.
+	if ok && failed != unix.EAGAIN && failed != unix.EPIPE {
+		c.broken = failed
+	}
+	return n, err
 }
 
 // startWrite counts a write and reports whether it may be made.
--- a/exchange/silent.go
+++ b/exchange/silent.go
@@ -16,6 +16,16 @@
 	}
 }
 
+// send writes to a socket what it takes, without waiting. It returns unix.EAGAIN when that is nothing.
+func send(fd int, p []byte) (int, error) {
+	for {
+		n, err := unix.Write(fd, p)
+		if err != unix.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
 // hasNoInput reports whether the connection is open and holds no bytes that wait to be read. It does
 // not wait for a Read in progress.
 func hasNoInput(c syscall.RawConn) bool {
