exchange: a response whose head has a malformed name of a field is no answer

Callers saw: a backend server in trouble sent an answer in whose head the name of a field held a blank, and got it delivered as an answer. With "Transfer-Encoding : chunked" the body was the text of the chunks, with "Content-Length : 5" whatever came until the connection ended; a refusal with such a line was believed and passed on as the promise that the request has not run.

Cause: net/textproto takes a name with blanks for an odd name and goes on, so http.Transport reads the body as if the line were not there.

Change: conn scans the heads of the responses to a request, also of informational ones, and ends the response at the first byte that no name of a field may hold. http.Transport then finds the head incomplete. The outcome is unknown, the connection is closed and the caller gets 502, as for the malformed heads that http.Transport finds itself (control bytes, NUL, letters beyond ASCII, no colon, two lengths, unknown codings).

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -27,6 +27,8 @@
 	// broken is the error by which a write learned that the connection was broken off; 0 if none did. A socket
 	// reports its error to one call only, and to each later read an end like that of a whole stream.
 	broken syscall.Errno
+	// head scans the heads of the responses to the current request.
+	head headScanner
 	// accepted is closed when the response to the current request is accepted or discarded.
 	accepted chan struct{}
 	// previous is accepted of the request before; it is nil once the current request may be sent.
@@ -57,6 +59,7 @@
 	}
 	accepted := make(chan struct{})
 	c.accepted = accepted
+	c.head = headScanner{}
 	return c.writes, sync.OnceFunc(func() { close(accepted) })
 }
 
@@ -67,18 +70,14 @@
 	err := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		n, failed = receive(int(fd), p)
-		if n > 0 {
-			c.writesAtRead = c.writes
-		}
-		if n == 0 && failed == nil && c.broken != 0 {
-			failed = c.broken
-		}
+		n, failed = c.receive(int(fd), p)
 		return failed != unix.EAGAIN
 	})
 	switch {
 	case err != nil:
 		return 0, err
+	case failed == errMalformedHead:
+		return 0, failed
 	case failed != nil:
 		return 0, c.opError("read", failed)
 	case n == 0 && len(p) > 0:
@@ -87,6 +86,28 @@
 	return n, nil
 }
 
+// receive reads what the socket holds, up to a malformed line in the head of a response. It returns
+// unix.EAGAIN when the socket holds nothing.
+func (c *conn) receive(fd int, p []byte) (int, error) {
+	if c.head.position == atMalformed {
+		return 0, errMalformedHead
+	}
+	n, err := receive(fd, p)
+	if n == 0 && err == nil && c.broken != 0 {
+		return 0, c.broken
+	}
+	if n == 0 {
+		return 0, err
+	}
+	c.writesAtRead = c.writes
+	wellFormed, err := c.head.scan(p[:n])
+	if wellFormed > 0 {
+		// What follows is reported by the next call, so that http.Transport knows that a response has begun.
+		return wellFormed, nil
+	}
+	return 0, err
+}
+
 func (c *conn) opError(op string, err error) error {
 	return &net.OpError{Op: op, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError(op, err)}
 }
--- a/exchange/fuzzresponse_test.go
+++ b/exchange/fuzzresponse_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
 	"gotest.tools/v3/assert"
 )
 
@@ -35,10 +36,20 @@
 		}
 		text, err := io.ReadAll(res.Body)
 		endsWithConnection := res.ContentLength < 0 && len(res.TransferEncoding) == 0
-		return res.StatusCode, string(text), err == nil && (closes || !endsWithConnection)
+		return res.StatusCode, string(text), err == nil && hasValidNames(res.Header) && (closes || !endsWithConnection)
 	}
 }
 
+// hasValidNames reports whether all names of fields are tokens. http.ReadResponse lets blanks pass.
+func hasValidNames(h http.Header) bool {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+	}
+	return true
+}
+
 // askWhole sends a request and returns the response if it arrives completely.
 func askWhole(transport http.RoundTripper, address, id string) (status int, body string, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), incompleteTimeout)
@@ -73,6 +84,7 @@
 		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 20) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 099 Low\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 1000 High\r\n\r\n", "HTTP/1.1 200\r\nContent-Length: -1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody", "HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\nContent-Length: 4\n\nbody", "HTTP/1.1 200 OK\r\n folded\r\n\r\n", "\r\n\r\n", "HTTP/2.0 200 OK\r\n\r\n", "\x00",
 	} {
 		f.Add([]byte(text), false)
