exchange: a response with a folded line in its head is no answer

Callers saw: a line that begins with a blank, behind the signature of a backend server in trouble, was joined to the signature, and the caller got the answer with a signature that no backend server had made.

Cause: net/textproto joins a folded line to the one before. To http.Transport the result is a well-formed field.

Change: the scanner of heads takes a blank at the start of a line for malformed. HTTP allows a proxy either to join such lines or to answer 502; a backend server in trouble is the likelier sender.

--- a/exchange/headscanner.go
+++ b/exchange/headscanner.go
@@ -32,7 +32,8 @@
 
 // headScanner finds malformed header fields in the responses to one request. http.Transport takes a field
 // whose name holds a blank for one with an odd name, so a misspelt length or transfer coding has no effect on
-// how it reads the body. What else is wrong with a head, http.Transport finds itself.
+// how it reads the body, and joins a line that begins with a blank to the one before. What else is wrong with a
+// head, http.Transport finds itself.
 //
 // The zero value is at the start of the first response.
 type headScanner struct {
@@ -114,11 +115,8 @@
 	case '\r':
 		s.position = atHeadEnd
 		return true
-	case ' ', '\t':
-		// The line continues the one before.
-		s.position = inRest
-		return true
 	}
+	// A line that begins with a blank would continue the one before, such as that of a signature.
 	s.position = inName
 	return isNameByte(b)
 }
--- a/exchange/headscanner_test.go
+++ b/exchange/headscanner_test.go
@@ -23,6 +23,8 @@
 		{"blank in a name", ok + "X", " Y: z\r\n\r\n"},
 		{"blank behind a name", ok + "X", " : z\r\n\r\n"},
 		{"tab behind a name", ok + "X", "\t: z\r\n\r\n"},
+		{"folded line", ok, " X: z\r\n\r\n"},
+		{"folded line with a tab", ok, "\tX\r\n\r\n"},
 		{"control byte", ok, "\x01X: z\r\n\r\n"},
 		{"letter beyond ASCII", ok + "X", "\xc3\xbc: z\r\n\r\n"},
 		{"empty name", ok, ": z\r\n\r\n"},
