exchange: a status above 599 is no answer

Callers saw: a backend server in trouble answered with status 600 or 999, and the caller got it as an answer, with its signature. Statuses 000, 001, 099, 101, 199, 020, 1000 and such with letters or signs were 502 before.

Cause: checkResponse asked only whether a status is at least 200; http.Transport returns every number of three digits.

Change: a response whose status is not between 200 and 599, which HTTP defines no others than, is none. The outcome is unknown and the caller gets 502.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -22,7 +22,10 @@
 var errUnsolicited = errors.New("response began before the request was sent")
 
 // errNotFinal means that the status of a response is not one that can end an exchange.
-var errNotFinal = errors.New("the status of the response is not a final one")
+var errNotFinal = errors.New("the status of the response is not between 200 and 599")
+
+// maxStatus is the highest status that HTTP defines.
+const maxStatus = 599
 
 // maxInformational bounds the informational responses to one request. http.Transport leaves that to
 // the receiver of these responses.
@@ -133,8 +136,8 @@
 
 // checkResponse reports why a response cannot be the one to its request.
 func checkResponse(res *http.Response, tr *tracker) error {
-	if res.StatusCode < http.StatusOK {
-		// http.Transport returns 101, for which nobody has asked, and numbers below 100.
+	if res.StatusCode < http.StatusOK || res.StatusCode > maxStatus {
+		// http.Transport returns 101, for which nobody has asked, and every other number of three digits.
 		return errNotFinal
 	}
 	if tr.isUnsolicited() {
