exchange: an answer with a malformed trailer is not whole

Callers saw: a backend server in trouble ended an answer in chunks with a trailer whose field had a blank in its name. The caller got the answer as a whole one; where that name was a misspelt Content-Length, it got an answer that it could not read.

Cause: as for the names in a head, net/textproto lets blanks in a trailer's names pass, so that http.Transport ends the body regularly.

Change: the body of a response ends with io.EOF only if all names in its trailer are valid, else with an error, as behind the trailers that http.Transport finds malformed itself. The answer then counts as broken off.

FuzzResponse, which now also demands valid names in trailers, failed for its new seed.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -27,6 +27,9 @@
 // maxStatus is the highest status that HTTP defines.
 const maxStatus = 599
 
+// errMalformedTrailer means that a field of the trailer of a response has no valid name.
+var errMalformedTrailer = errors.New("the trailer of the response is malformed")
+
 // maxInformational bounds the informational responses to one request. http.Transport leaves that to
 // the receiver of these responses.
 const maxInformational = 16
@@ -118,7 +121,7 @@
 		err = checkResponse(res, tr)
 	}
 	if err == nil {
-		res.Body = &responseBody{ReadCloser: res.Body, tracker: tr}
+		res.Body = &responseBody{ReadCloser: res.Body, response: res, tracker: tr}
 		return res, true, nil
 	}
 	if res != nil {
@@ -149,13 +152,18 @@
 // responseBody is the body of a response with the tracker of its connection.
 type responseBody struct {
 	io.ReadCloser
-	tracker *tracker
+	response *http.Response
+	tracker  *tracker
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. A body ends with io.EOF only if the trailer behind it is well-formed.
 func (b *responseBody) Read(p []byte) (int, error) {
 	b.tracker.acceptResponse()
-	return b.ReadCloser.Read(p)
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !isTrailer(b.response.Trailer) {
+		err = errMalformedTrailer
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
--- a/exchange/fuzzresponse_test.go
+++ b/exchange/fuzzresponse_test.go
@@ -36,7 +36,7 @@
 		}
 		text, err := io.ReadAll(res.Body)
 		endsWithConnection := res.ContentLength < 0 && len(res.TransferEncoding) == 0
-		return res.StatusCode, string(text), err == nil && hasValidNames(res.Header) && (closes || !endsWithConnection)
+		return res.StatusCode, string(text), err == nil && hasValidNames(res.Header) && hasValidNames(res.Trailer) && (closes || !endsWithConnection)
 	}
 }
 
@@ -85,6 +85,7 @@
 		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 20) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 099 Low\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 1000 High\r\n\r\n", "HTTP/1.1 200\r\nContent-Length: -1\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody", "HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA : b\r\n\r\n",
 		"HTTP/1.1 200 OK\nContent-Length: 4\n\nbody", "HTTP/1.1 200 OK\r\n folded\r\n\r\n", "\r\n\r\n", "HTTP/2.0 200 OK\r\n\r\n", "\x00",
 	} {
 		f.Add([]byte(text), false)
