exchange: a trailer about the framing no longer makes an answer unreadable

Callers saw: a backend server ended a whole answer in chunks with a trailer Content-Length, Transfer-Encoding or Trailer that it had not announced. On routes whose work must not repeat the client got an answer that announces such a trailer, which clients cannot read; on idempotent ones the entry could not read the guard's reply, so the caller got 502 and the guard passed for one that gives no answers.

Cause: http.Transport returns such fields among the trailers, and ResponseWriter announced them. Neither http.Transport nor others accept the announcement.

Change: the body of a response drops these fields when it ends; behind a body they mean nothing. The list of names is shared with the entry, which refuses requests that have them.

--- a/entry/trailer.go
+++ b/entry/trailer.go
@@ -6,17 +6,15 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/jackdawlane/jackdawlane/exchange"
 	"github.com/jackdawlane/jackdawlane/hop"
 )
 
-// forbiddenTrailers are the names that http.Transport does not send as trailers.
-var forbiddenTrailers = []string{"Content-Length", "Trailer", "Transfer-Encoding"}
-
 // checkTrailer refuses a request with a trailer that http.Transport does not send. The transport's
 // error would be taken for a guard that cannot be reached.
 func checkTrailer(trailer http.Header) *ErrorReply {
 	for name, values := range trailer {
-		if slices.Contains(forbiddenTrailers, name) || !httpguts.ValidHeaderFieldName(name) || !validValues(values) {
+		if exchange.IsForbiddenTrailer(name) || !validValues(values) {
 			return NotRun(http.StatusBadRequest, hop.ReasonBadRequest, "a trailer is not valid")
 		}
 	}
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -160,10 +160,13 @@
 func (b *responseBody) Read(p []byte) (int, error) {
 	b.tracker.acceptResponse()
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && !isTrailer(b.response.Trailer) {
-		err = errMalformedTrailer
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if malformed := checkTrailer(b.response.Trailer); malformed != nil {
+		return n, malformed
+	}
+	return n, io.EOF
 }
 
 // Close implements io.Closer.
