exchange: an answer of HTTP/1.0 with a transfer coding is no answer

Callers saw: a backend server answered with HTTP/1.0 and Transfer-Encoding: chunked, and the caller got the lines of the chunks as the body, or, with a Content-Length beside it, a part of them.

Cause: HTTP/1.0 has no transfer codings. net/http ignores the field and removes it from the head, so nothing behind it can tell.

Change: the scanner of heads notes the field; such a response is malformed, as HTTP says of its framing.

TestHeadScannerFindsCoding is new.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -186,6 +186,13 @@
 	return c.writesAtRead <= writes
 }
 
+// hasCoding reports whether the head of the response names a transfer coding. net/http does not tell.
+func (c *conn) hasCoding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.coded
+}
+
 // ReadFrom copies r through a pooled buffer and counts each write. Without this method net/http copies
 // request bodies, even empty ones, through a new buffer of 32 KB.
 func (c *conn) ReadFrom(r io.Reader) (int64, error) {
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -75,6 +75,12 @@
 	return t.unsolicited
 }
 
+func (t *tracker) hasCoding() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil && t.conn.hasCoding()
+}
+
 // acceptResponse lets the connection carry the next request.
 func (t *tracker) acceptResponse() {
 	t.mu.Lock()
@@ -146,6 +152,10 @@
 	if tr.isUnsolicited() {
 		return errUnsolicited
 	}
+	if !res.ProtoAtLeast(1, 1) && tr.hasCoding() {
+		// http.Transport ignores a transfer coding of HTTP/1.0, which knows none, and takes the chunks for the body.
+		return errMalformedHead
+	}
 	return nil
 }
 
--- a/exchange/headscanner.go
+++ b/exchange/headscanner.go
@@ -40,8 +40,17 @@
 	position headPosition
 	// interim is set in the head of an informational response, behind which another head follows.
 	interim bool
+	// matched is the number of bytes in which the current name agrees with codingName, or noMatch.
+	matched int
+	// coded is set once the current head has a field codingName.
+	coded bool
 }
 
+// codingName is the name, in lower case, of the field that says how a body is framed.
+const codingName = "transfer-encoding"
+
+const noMatch = -1
+
 // scan reads the next bytes of a connection. It returns the number of bytes before the first one that may not
 // stand where it does, and errMalformedHead if there is one.
 func (s *headScanner) scan(p []byte) (int, error) {
@@ -117,18 +126,31 @@
 		return true
 	}
 	// A line that begins with a blank would continue the one before, such as that of a signature.
-	s.position = inName
-	return isNameByte(b)
+	s.position, s.matched = inName, 0
+	return b != ':' && s.stepName(b)
 }
 
 func (s *headScanner) stepName(b byte) bool {
 	if b == ':' {
+		s.coded = s.coded || s.matched == len(codingName)
 		s.position = inRest
 		return true
 	}
+	if s.matched != noMatch && s.matched < len(codingName) && lower(b) == codingName[s.matched] {
+		s.matched++
+	} else {
+		s.matched = noMatch
+	}
 	return isNameByte(b)
 }
 
+func lower(b byte) byte {
+	if 'A' <= b && b <= 'Z' {
+		return b + 'a' - 'A'
+	}
+	return b
+}
+
 // isNameByte reports whether the name of a field may hold the byte.
 func isNameByte(b byte) bool { return httpguts.IsTokenRune(rune(b)) }
 
--- a/exchange/headscanner_test.go
+++ b/exchange/headscanner_test.go
@@ -50,3 +50,23 @@
 		}
 	}
 }
+
+// Guards against a transfer coding that is not found, and against a field with a similar name that passes for
+// one.
+func TestHeadScannerFindsCoding(t *testing.T) {
+	for line, want := range map[string]bool{
+		"Transfer-Encoding: chunked": true, "tRANSFER-eNCODING:": true, "A: b\r\nTransfer-Encoding: x\r\nB: c": true,
+		"Transfer-Encodin: x": false, "Transfer-Encodings: x": false, "X-Transfer-Encoding: x": false, "A: Transfer-Encoding: x": false,
+		"Transfer-EncodingTransfer-Encoding: x": false,
+	} {
+		for _, interim := range []string{"", "HTTP/1.1 103 x\r\nTransfer-Encoding: chunked\r\n\r\n"} {
+			text := interim + "HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nTransfer-Encoding: chunked\r\n"
+			for cut := range len(text) + 1 {
+				var s headScanner
+				_, first := s.scan([]byte(text[:cut]))
+				_, second := s.scan([]byte(text[cut:]))
+				assert.Check(t, first == nil && second == nil && s.coded == want, "%q, cut at %d", text, cut)
+			}
+		}
+	}
+}
