--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -19,8 +19,8 @@
 	unackedTimeout = 4 * time.Second
 )
 
-// NewDialer returns a dialer whose connections detect a peer that no longer responds.
-func NewDialer(timeout time.Duration) *net.Dialer {
+// newDialer returns a dialer whose connections detect a peer that no longer responds.
+func newDialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
--- a/exchange/transport.go
+++ b/exchange/transport.go
@@ -20,7 +20,7 @@
 // dial bounds the time to open a connection. maxConns bounds the connections to each
 // host; 0 means no bound.
 func NewTransport(dial time.Duration, maxConns, maxIdleConns int) *http.Transport {
-	dialer := NewDialer(dial)
+	dialer := newDialer(dial)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
