platform: a malformed response of the store is no response

What was seen: the store answers with status 000 or 099, or with 101 to a write, and the node takes the list, the watch or the object for the store's state and the write for acknowledged; likewise with a blank in the name of a field or a folded line in the head.

Cause: statusError takes every status below 300 for a success, and http.Transport returns numbers below 100 and 101. The checks of package exchange were for backend servers and guards only.

A request that http.Transport sends again on another connection, which Do's callers prevent, is tracked there.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -34,7 +34,7 @@
 // the receiver of these responses.
 const maxInformational = 16
 
-// tracker records which connection one request uses.
+// tracker records which connection one request uses, the last one if there are several.
 type tracker struct {
 	mu           sync.Mutex
 	conn         *conn
@@ -50,10 +50,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c, ok := info.Conn.(*conn)
-	if !ok || t.conn != nil {
+	if !ok {
 		t.mayHaveSent = true
 		return
 	}
+	if t.conn != nil {
+		// http.Transport sends a request that can be replayed again when a reused connection has broken.
+		t.mayHaveSent = true
+		t.accept()
+	}
 	t.conn = c
 	t.writesBefore, t.accept = c.begin()
 }
--- a/exchange/transport.go
+++ b/exchange/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/textproto"
 	"time"
 )
 
@@ -16,6 +17,16 @@
 	maxHeadBytes = 128 << 10
 )
 
+// Client is an http.RoundTripper that sends requests and checks responses as Do does. It ignores
+// informational responses.
+type Client struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (c Client) RoundTrip(req *http.Request) (*http.Response, error) {
+	res, _, err := Do(c.Transport, req, func(int, textproto.MIMEHeader) {})
+	return res, err
+}
+
 // NewTransport returns an HTTP/1.1 transport for use with Do.
 // dial bounds the time to open a connection. maxConns bounds the connections to each
 // host; 0 means no bound.
