objectstore: a malformed response of the store is no response

What was seen: the store answers with status 000, 099 or 101, with a blank in the name of a field or with a folded line in the head, and the client takes the body for an object or a list, and the write for acknowledged.

Change: it uses the transport and the checks of package exchange.

Evidence: TestMalformedResponseIsNoResponse failed before for each of the five calls (for a list answered with 101 only in the kind of the error); 600 and control bytes were handled. A write of the largest value whose response is reset was handled too, as TestResetWhileWriteIsSentIsNoAcknowledgement shows: it passed before.

Measured now: each call with each of the ten responses is ErrUnavailable for reads and ErrUncertain for writes.

--- a/exchange/transport.go
+++ b/exchange/transport.go
@@ -28,8 +28,8 @@
 }
 
 // NewTransport returns an HTTP/1.1 transport for use with Do.
-// dial bounds the time to open a connection. maxConns bounds the connections to each
-// host; 0 means no bound.
+// dial bounds the time to open a connection, and maxConns the connections to each host;
+// 0 means no bound.
 func NewTransport(dial time.Duration, maxConns, maxIdleConns int) *http.Transport {
 	dialer := newDialer(dial)
 	return &http.Transport{
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -14,12 +14,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/jackdawlane/jackdawlane/exchange"
 )
 
 // MaxValueBytes is the size of the largest value that the store accepts.
 const MaxValueBytes = 1 << 20
 
-// maxHeadBytes bounds the head of a response. The default of http.Transport is 10 MB for each call.
+// maxHeadBytes bounds the head of a response.
 const maxHeadBytes = 64 << 10
 
 // maxIdleConnections allows parallel page reads to reuse their connections.
@@ -66,14 +68,11 @@
 
 // New returns a client of the object store at an address.
 func New(address netip.AddrPort) *Client {
-	transport := &http.Transport{
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdleConnections,
-		IdleConnTimeout:        time.Minute,
-		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	transport := exchange.NewTransport(0, 0, maxIdleConnections)
+	transport.IdleConnTimeout = time.Minute
+	transport.MaxResponseHeaderBytes = maxHeadBytes
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{address: address, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	return &Client{address: address, http: &http.Client{Transport: exchange.Client{Transport: transport}, CheckRedirect: noRedirect}}
 }
 
 // Close closes idle connections.
