permit: a malformed reply grants no permit

What was seen: on a kept connection an owner's reply whose head has a blank in the name of a field, or a folded line, grants a permit.

Cause: requests for permits went through the transport alone, without the checks of exchange.Do, of which the connection makes those of the first head only.

Change: they go through exchange.Client.

Evidence: TestMalformedReplyGrantsNoPermit failed before. Other statuses, missing headers, odd counts and closed connections were handled (TestOwnerWithoutUsableReply).

Measured now: the three malformed replies make the owner unavailable.

--- a/permit/node.go
+++ b/permit/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -48,7 +47,7 @@
 // and keeps no state for organisations without a limit.
 type Node struct {
 	config    Config
-	transport *http.Transport
+	transport exchange.Client
 	// mu guards the fields below, which hold no lock during a message.
 	mu        sync.Mutex
 	directory *quota.Directory
@@ -61,7 +60,7 @@
 func NewNode(c Config) *Node {
 	return &Node{
 		config:    c,
-		transport: exchange.NewTransport(quota.ReplyTimeout, 0, maxIdleConnections),
+		transport: exchange.Client{Transport: exchange.NewTransport(quota.ReplyTimeout, 0, maxIdleConnections)},
 		directory: quota.NewDirectory(c.Self, c.Regions, c.Now()),
 		owner:     quota.NewOwner(c.Terms, c.Incarnation),
 		client:    quota.NewClient(),
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -304,3 +304,24 @@
 		assert.Assert(t, ok && parsed == r)
 	}
 }
+
+// Guards against a malformed reply on a kept connection granting a permit.
+func TestMalformedReplyGrantsNoPermit(t *testing.T) {
+	t.Parallel()
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nX Y: z\r\n", "HTTP/1.1 200 OK\r\nX-A: z\r\n folded\r\n", "HTTP/1.1 103 x\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n"} {
+		f := newFixture(t)
+		_, refusal := f.take(t.Context())
+		assert.Assert(t, refusal == nil)
+		var serve http.HandlerFunc = func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "%s%s: %s\r\nContent-Length: 0\r\n\r\n", head, hop.HeaderPermit, quota.Granted)
+		}
+		f.intercept.Store(&serve)
+		_, refusal = f.take(t.Context())
+		assert.DeepEqual(t, refusal, &quota.Refusal{Unavailable: true})
+	}
+}
