relay: a malformed reply is none

What was seen: on a kept connection another node's reply whose head has a blank in the name of a field, or a folded line, confirms the configuration in force or brings updates.

Cause: as for permits, requests for updates went through the transport alone.

Change: they go through exchange.Client.

Evidence: TestMalformedReplyIsNoReply failed before for the four heads with a blank in a name or a folded line; 000 and 600 were handled, since a reply must have status 200. Updates that are cut or odd were handled too (TestUpdatesNeverGoBack).

Measured now: each of the six replies is an error.

--- a/relay/client.go
+++ b/relay/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -41,7 +40,7 @@
 // Client keeps the configuration of a node up to date.
 type Client struct {
 	config    Config
-	transport *http.Transport
+	transport exchange.Client
 	// mu guards the selector.
 	mu       sync.Mutex
 	selector *Selector
@@ -67,7 +66,7 @@
 	return &Client{
 		config: c,
 		// A VM that is gone answers no packet, while a request may wait longer for its reply.
-		transport: exchange.NewTransport(time.Duration(replyShare*float64(c.MaxAge)), 0, maxIdleConnections),
+		transport: exchange.Client{Transport: exchange.NewTransport(time.Duration(replyShare*float64(c.MaxAge)), 0, maxIdleConnections)},
 		selector:  NewSelector(c.Self, c.MaxAge, nil),
 		known:     make(chan struct{}),
 		reading:   closedChannel(),
