cli: a broken explanation is not shown

What was seen: an explanation whose head has a blank in the name of a field, or a folded line, is shown, and the command ends with 0.

Cause: the command had a transport of its own, without the checks of package exchange.

Evidence: TestBrokenExplanationIsNotShown failed before for the three heads; statuses 000 and 600, control bytes and an explanation that is cut off at any byte were handled.

Measured now: each of them ends the command with a failure and without output.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/jackdawlane/jackdawlane/entry"
+	"github.com/jackdawlane/jackdawlane/exchange"
 	"github.com/jackdawlane/jackdawlane/hop"
 )
 
@@ -63,7 +64,9 @@
 	if err != nil {
 		return x, errors.Mark(err, ErrUsage)
 	}
-	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	transport := exchange.NewTransport(exchange.DialTimeout, 0, 0)
+	transport.DisableKeepAlives = true
+	res, err := exchange.Client{Transport: transport}.RoundTrip(req)
 	if err != nil {
 		return x, errors.Wrapf(ErrNode, "%s: %v", address, errors.UnwrapAll(err))
 	}
