--- a/entry/hedging_test.go
+++ b/entry/hedging_test.go
@@ -141,3 +141,46 @@
 	assert.Equal(t, p.entry.HedgeCounts()["started"], int64(0))
 	assert.Equal(t, p.runs()[0]+p.runs()[1], 2)
 }
+
+// Guards against the broken answer of one of two parallel attempts being delivered, or keeping the caller
+// from the whole answer of the other one.
+func TestBrokenAnswerOfHedgeIsNotDelivered(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + hop.HeaderOutcome + ": answer\r\n"
+	for _, broken := range []string{
+		head + "X Y: z\r\nContent-Length: 4\r\n\r\nbody",
+		head + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		head + "Content-Length: 5\r\n\r\nbody",
+		"HTTP/1.1 000 x\r\n" + hop.HeaderOutcome + ": answer\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		for _, brokenAttempt := range []int32{1, 2} {
+			var attempts atomic.Int32
+			second := make(chan struct{})
+			url := newEntryForHandler(t, 2, 0, func(w http.ResponseWriter, _ *http.Request) {
+				attempt := attempts.Add(1)
+				w.WriteHeader(hop.StatusAcknowledged)
+				if attempt == 2 {
+					close(second)
+				}
+				<-second
+				if attempt != brokenAttempt {
+					time.Sleep(100 * time.Millisecond)
+					serveAttempt(w)
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				io.WriteString(conn, broken)
+			})
+			res, err := client.Get(url + "/")
+			assert.NilError(t, err)
+			body, err := io.ReadAll(res.Body)
+			res.Body.Close()
+			assert.NilError(t, err)
+			assert.Check(t, res.StatusCode == http.StatusOK && string(body) == "served", "attempt %d broken with %q: %d %q", brokenAttempt, broken, res.StatusCode, body)
+			assert.Check(t, attempts.Load() == 2, "%d attempts", attempts.Load())
+		}
+	}
+}
