guard: the log says why an answer is broken

What was seen: a dispatch without a whole answer is logged as answer-lost, whether the connection was reset, the head was malformed or the status no final one; a long answer that broke off while it was relayed had no line at all.

Change: a line "answer is broken" with the cause, cut to 200 characters, unless the time of the request has run out or the caller has gone. It is bounded like the line dispatch: at most one for each. Do returns errMalformedHead where the scanner found the fault, since http.Transport tells of an incomplete head only.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -89,7 +89,7 @@
 // receive reads what the socket holds, up to a malformed line in the head of a response. It returns
 // unix.EAGAIN when the socket holds nothing.
 func (c *conn) receive(fd int, p []byte) (int, error) {
-	if c.head.position == atMalformed {
+	if c.head.isMalformed() {
 		return 0, errMalformedHead
 	}
 	n, err := receive(fd, p)
@@ -186,11 +186,11 @@
 	return c.writesAtRead <= writes
 }
 
-// hasCoding reports whether the head of the response names a transfer coding. net/http does not tell.
-func (c *conn) hasCoding() bool {
+// scannedHead returns what is known of the head of the current response.
+func (c *conn) scannedHead() headScanner {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.coded
+	return c.head
 }
 
 // ReadFrom copies r through a pooled buffer and counts each write. Without this method net/http copies
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -80,10 +80,14 @@
 	return t.unsolicited
 }
 
-func (t *tracker) hasCoding() bool {
+// head returns what is known of the head of the response.
+func (t *tracker) head() headScanner {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.conn != nil && t.conn.hasCoding()
+	if t.conn == nil {
+		return headScanner{}
+	}
+	return t.conn.scannedHead()
 }
 
 // acceptResponse lets the connection carry the next request.
@@ -138,6 +142,10 @@
 	if res != nil {
 		defer res.Body.Close()
 	}
+	if head := tr.head(); head.isMalformed() {
+		// http.Transport tells only that the head is not complete.
+		err = errMalformedHead
+	}
 	sent = tr.stopWrites()
 	if body, ok := req.Body.(*Body); ok && req.Header.Get("Expect") != "" {
 		// The receiver acts only on a request with its body, which the transport sends
@@ -157,7 +165,7 @@
 	if tr.isUnsolicited() {
 		return errUnsolicited
 	}
-	if !res.ProtoAtLeast(1, 1) && tr.hasCoding() {
+	if head := tr.head(); head.coded && !res.ProtoAtLeast(1, 1) {
 		// http.Transport ignores a transfer coding of HTTP/1.0, which knows none, and takes the chunks for the body.
 		return errMalformedHead
 	}
--- a/exchange/headscanner.go
+++ b/exchange/headscanner.go
@@ -51,6 +51,9 @@
 
 const noMatch = -1
 
+// isMalformed reports whether a byte was found that may not stand where it does.
+func (s *headScanner) isMalformed() bool { return s.position == atMalformed }
+
 // scan reads the next bytes of a connection. It returns the number of bytes before the first one that may not
 // stand where it does, and errMalformedHead if there is one.
 func (s *headScanner) scan(p []byte) (int, error) {
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -17,6 +18,9 @@
 	"github.com/jackdawlane/jackdawlane/hop"
 )
 
+// maxLoggedRunes bounds the text of an error in the log, which may quote what a backend server sent.
+const maxLoggedRunes = 200
+
 // dispatch sends the attempt to its backend server and relays the answer to the entry.
 func (g *Guard) dispatch(ctx context.Context, w http.ResponseWriter, r *http.Request, body io.Reader, req attemptRequest, s server) {
 	defer g.countRunning(req)()
@@ -43,6 +47,9 @@
 		}
 		timing.responseArrived(outBody)
 		timing.noResponse = run.lost(ctx)
+		if sent {
+			g.logBroken(ctx, req, s, err)
+		}
 		g.dispatchFailed(ctx, w, req, s, sent, timing)
 		return
 	}
@@ -69,12 +76,14 @@
 	res.Body = &timedBody{ReadCloser: res.Body, timing: timing}
 	if g.config.BufferAnswers {
 		if err := bufferShortAnswer(res); err != nil {
+			g.logBroken(ctx, req, s, err)
 			g.dispatchFailed(ctx, w, req, s, true, timing)
 			return
 		}
 	}
 	err = g.relay(rw, res, req)
 	if errors.Is(err, exchange.ErrRead) {
+		g.logBroken(ctx, req, s, err)
 		g.reportResult(ctx, req, s, Failed, timing)
 	}
 	if err != nil {
@@ -133,6 +142,17 @@
 		"status", res.StatusCode, "response_id", g.config.Protocol.RequestID(res.Header))
 }
 
+// logBroken logs why the answer to a request is missing or not whole, unless the time of the request has run out
+// or the caller has gone.
+func (g *Guard) logBroken(ctx context.Context, req attemptRequest, s server, err error) {
+	if g.config.Logger == nil || ctx.Err() != nil {
+		return
+	}
+	g.config.Logger.Warn("answer is broken",
+		"id", req.requestID, "instance", s.instance, "service", req.service,
+		"err", fmt.Sprintf("%.*s", maxLoggedRunes, errors.UnwrapAll(err).Error()))
+}
+
 // setBackendHeaders replaces the headers between entry and guard by those that the
 // backend server expects.
 func (g *Guard) setBackendHeaders(out *http.Request, req attemptRequest, s server) {
