exchange: a read of a connection that is closed after a reset tells of the reset

The client had got no whole answer.

Cause: when a write fails, http.Transport closes the connection, and a read behind that fails with "use of closed network connection".

Change: such a read returns what the write learned.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -75,7 +75,7 @@
 	})
 	switch {
 	case err != nil:
-		return 0, err
+		return 0, c.readError(err)
 	case failed == errMalformedHead:
 		return 0, failed
 	case failed != nil:
@@ -108,6 +108,17 @@
 	return 0, err
 }
 
+// readError returns the error of a read that failed with err. http.Transport closes the connection when a write
+// fails; what the write learned is then the reason.
+func (c *conn) readError(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != 0 {
+		return c.opError("read", c.broken)
+	}
+	return err
+}
+
 func (c *conn) opError(op string, err error) error {
 	return &net.OpError{Op: op, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError(op, err)}
 }
--- a/exchange/do.go
+++ b/exchange/do.go
@@ -111,9 +111,10 @@
 	return t.conn.stopWrites() > t.writesBefore || t.mayHaveSent
 }
 
-// Do sends req, which must come from NewRequest. on1xx receives informational responses.
+// Do sends req, which must come from NewRequest unless it may be sent more than once. on1xx receives informational responses.
 // The connection carries its next request only once the body of the response is read from or closed.
-// A response that began before the request was sent, or whose status is not final, is an error.
+// A response that began before the request was sent, whose status is not final or whose head is malformed, is an
+// error.
 // An error is marked ErrNoResponse; sent is then false only when the receiver cannot act
 // on the request: no byte of it was or can be sent, or it has an Expect header and none
 // of its body was or can be sent.
--- a/exchange/headscanner.go
+++ b/exchange/headscanner.go
@@ -7,7 +7,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// errMalformedHead means that the head of a response has a line that is no header field.
+// errMalformedHead means that the head of a response has a line that is no header field, or one that its
+// version of HTTP does not allow.
 var errMalformedHead = errors.New("the head of the response is malformed")
 
 // headPosition is a position in the head of a response.
@@ -128,8 +129,8 @@
 		s.position = atHeadEnd
 		return true
 	}
-	// A line that begins with a blank would continue the one before, such as that of a signature.
 	s.position, s.matched = inName, 0
+	// A blank, which no name holds, would make the line continue the one before, such as that of a signature.
 	return b != ':' && s.stepName(b)
 }
 
--- a/exchange/reset_test.go
+++ b/exchange/reset_test.go
@@ -62,6 +62,9 @@
 	assert.ErrorIs(t, err, syscall.ECONNRESET)
 	_, err = c.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.NilError(t, c.Close())
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, syscall.ECONNRESET, "the close hides the reset")
 }
 
 // Guards against a whole body that ends with its connection being taken for broken because the peer, which
