--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -47,7 +47,7 @@
 		}
 		timing.responseArrived(outBody)
 		timing.noResponse = run.lost(ctx)
-		if sent {
+		if sent && !timing.uploadFailed {
 			g.logBroken(ctx, req, s, err)
 		}
 		g.dispatchFailed(ctx, w, req, s, sent, timing)
