exchange: the body of a response does not keep the response in memory

Cause: since the body of a response refers to the response, for its trailer. The guard closes the body when the dispatch has returned, after its line of log; until then the answer that it has read whole, which has taken the place of the body in the response, stays in memory, also when it has been sent. Hundreds of dispatches can wait for the log.

Change: the body lets go of the response when it has been read to its end.

--- a/exchange/do.go
+++ b/exchange/do.go
@@ -3,6 +3,7 @@
 package exchange
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -176,8 +177,10 @@
 // responseBody is the body of a response with the tracker of its connection.
 type responseBody struct {
 	io.ReadCloser
+	tracker *tracker
+	// response is nil once the body has been read to its end, and end is then what a Read returns.
 	response *http.Response
-	tracker  *tracker
+	end      error
 }
 
 // Read implements io.Reader. A body ends with io.EOF only if the trailer behind it is well-formed.
@@ -187,10 +190,17 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if malformed := checkTrailer(b.response.Trailer); malformed != nil {
-		return n, malformed
+	return n, b.endError()
+}
+
+// endError returns io.EOF, or the error of a malformed trailer. It lets go of the response, whose Body may have been
+// replaced by a long text: a caller that closes this body late does not keep that in memory.
+func (b *responseBody) endError() error {
+	if b.response != nil {
+		b.end = cmp.Or(checkTrailer(b.response.Trailer), io.EOF)
+		b.response = nil
 	}
-	return n, io.EOF
+	return b.end
 }
 
 // Close implements io.Closer.
