--- a/review/src-3/backend.go
+++ b/review/src-3/backend.go
@@ -6,10 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
 
+// partPause is the time between the two parts of a long answer.
+const partPause = 1500 * time.Millisecond
+
 // arrival is a request that has reached a backend server.
 type arrival struct {
 	id, caller string
@@ -32,7 +37,12 @@
 	sequence          int
 	state             string
 	queued            int
-	arrivals          []*arrival
+	// quiet is set when the backend server sends no further heartbeats.
+	quiet    bool
+	arrivals []*arrival
+	// first and rest are the lengths of the two parts of an answer, between which 1.5 s pass; with 0 the answer is
+	// a short one.
+	first, rest int
 }
 
 // startBackend starts a process at the backend server's address of a VM; it announces itself from then on.
@@ -54,6 +64,12 @@
 
 func (b *backend) announce() {
 	for {
+		b.mu.Lock()
+		quiet := b.quiet
+		b.mu.Unlock()
+		if quiet {
+			return
+		}
 		b.sendBeat()
 		select {
 		case <-b.ended:
@@ -144,7 +160,15 @@
 		return
 	}
 	w.Header().Set("Server-Signature", "sig."+b.instance)
-	_, _ = io.WriteString(w, "done "+id)
+	if b.first == 0 {
+		_, _ = io.WriteString(w, "done "+id)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(b.first+b.rest))
+	_, _ = io.WriteString(w, strings.Repeat("x", b.first))
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(partPause)
+	_, _ = io.WriteString(w, strings.Repeat("x", b.rest))
 }
 
 func (b *backend) takeSlot(ctx context.Context) bool {
--- a/review/src-3/cases.go
+++ b/review/src-3/cases.go
@@ -5,13 +5,42 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/jackdawlane/jackdawlane/platform/standin"
 )
 
 // orderWork is the time that an order takes.
 const orderWork = 290 * time.Millisecond
 
+// servers is the number of backend servers of the service that orders go to. One of them that crashes or leaves is
+// within the share that the pages name.
+const servers = 7
+
+// addOrderDesk adds a VM whose clients send the orders, and the VMs of the service. The backend server of the last
+// one is not started.
+func (f *fixture) addOrderDesk() (entry, last *node, err error) {
+	if entry, err = f.addNode("sidecar-howrah-a-1", "pattern-shop"); err != nil {
+		return nil, nil, err
+	}
+	for i := range servers {
+		if last, err = f.addNode(fmt.Sprintf("sidecar-howrah-a-%d", 2+i), "order-desk"); err != nil {
+			return nil, nil, err
+		}
+	}
+	f.configure(7, map[string]routeSpec{
+		"r-1": {Host: host, PathPrefix: "/order/", RouteType: "non_idempotent", TimeoutS: 8, TargetLatencyS: 3, Priority: 1, Service: "order-desk", MaxAttempts: 2},
+	}, "pattern-shop", "order-desk")
+	for _, n := range f.nodes {
+		if err := n.awaitReady(10 * time.Second); err != nil {
+			return nil, nil, err
+		}
+	}
+	for i, n := range f.nodes[1:servers] {
+		if _, err := startBackend(n, fmt.Sprintf("i-other-%d", i), "order-desk", time.Now().UnixMilli(), orderWork); err != nil {
+			return nil, nil, err
+		}
+	}
+	return entry, last, nil
+}
+
 // playGone lets clients leave whose uploads wait for a free slot.
 func playGone(f *fixture) (verdict, error) {
 	const (
@@ -96,42 +125,94 @@
 	return verdict{fmt.Sprintf("%d requests, %d clients left, %d of these requests reached a backend server over half a second later, %d ran", len(all), len(left), reached, ran), reached <= few}, nil
 }
 
-// playOddBeat lets a backend server leave after another writer has sent a heartbeat for its address, while the
-// store is down.
-func playOddBeat(f *fixture) (verdict, error) {
-	const outage = 4400 * time.Millisecond
-	n, err := f.addNode("sidecar-howrah-a-1", "order-desk")
+// playBehind kills the node whose backend server gives a long answer, while requests that were sent behind it run at
+// other backend servers.
+func playBehind(f *fixture) (verdict, error) {
+	const (
+		connections = 4
+		behind      = 5
+		// sounds is the number of backend servers that run the requests behind: one machine of seven is killed.
+		sounds = 5
+		// threshold is the number of requests that the rule lets pass.
+		threshold = 3
+	)
+	entry, err := f.addNode("sidecar-fukuoka-a-1", "front-desk")
 	if err != nil {
 		return verdict{}, err
 	}
-	f.configure(7, map[string]routeSpec{
-		"r-1": {Host: host, PathPrefix: "/order/", RouteType: "non_idempotent", TimeoutS: 8, TargetLatencyS: 3, Priority: 1, Service: "order-desk", MaxAttempts: 2},
-	}, "order-desk")
-	if err := n.awaitReady(10 * time.Second); err != nil {
+	long, err := f.addNode("sidecar-fukuoka-a-2", "lesson-desk")
+	if err != nil {
 		return verdict{}, err
 	}
-	b, err := startBackend(n, "i-1", "order-desk", time.Now().UnixMilli(), orderWork)
+	for i := range sounds {
+		if _, err := f.addNode(fmt.Sprintf("sidecar-fukuoka-a-%d", 3+i), "record-hall"); err != nil {
+			return verdict{}, err
+		}
+	}
+	route := func(prefix, service string) routeSpec {
+		return routeSpec{Host: host, PathPrefix: prefix, RouteType: "idempotent", TimeoutS: 8, TargetLatencyS: 5, Priority: 1, Service: service, MaxAttempts: 2}
+	}
+	f.configure(7, map[string]routeSpec{"r-1": route("/lesson/", "lesson-desk"), "r-2": route("/record/", "record-hall")}, "front-desk", "lesson-desk", "record-hall")
+	for _, n := range f.nodes {
+		if err := n.awaitReady(10 * time.Second); err != nil {
+			return verdict{}, err
+		}
+	}
+	slow, err := startBackend(long, "i-1", "lesson-desk", time.Now().UnixMilli(), 50*time.Millisecond)
 	if err != nil {
 		return verdict{}, err
 	}
+	slow.first, slow.rest = 300_000, 100_000
+	var sound []*backend
+	for i, n := range f.nodes[2:] {
+		b, err := startBackend(n, fmt.Sprintf("i-%d", 2+i), "record-hall", time.Now().UnixMilli(), 200*time.Millisecond)
+		if err != nil {
+			return verdict{}, err
+		}
+		sound = append(sound, b)
+	}
 	time.Sleep(5 * time.Second)
-	end := f.sendOrders(n)
-	time.Sleep(500 * time.Millisecond)
+	var all []*pipelined
+	var wait sync.WaitGroup
+	for i := range connections {
+		p := &pipelined{name: fmt.Sprintf("c%d", i), behind: behind}
+		all = append(all, p)
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			p.send(entry)
+		}()
+	}
+	time.Sleep(1500 * time.Millisecond)
 	if f.trouble {
-		f.store.SetFaults(standin.Faults{Down: true})
-		f.note("the store is down (503)")
-		up := time.AfterFunc(outage, func() {
-			f.store.SetFaults(standin.Faults{})
-			f.note("the store is up")
-		})
-		defer up.Stop()
-		time.Sleep(100 * time.Millisecond)
-		odd := beat{Service: "not-named", Address: n.backend, Zone: "howrah-a", Version: "v1", Capacity: slots, State: "ready", Sequence: 1, Born: time.Now().UnixMilli()}
-		f.note("%s: heartbeat of another writer, service %s: %d", n.name, odd.Service, n.announceCall(http.MethodPut, "i-odd", odd))
-		time.Sleep(300 * time.Millisecond)
-	}
-	acknowledged, ok := b.leave()
-	return drainVerdict(b, end(), acknowledged, ok), nil
+		f.note("%s: SIGKILL", long.name)
+		long.kill()
+	}
+	wait.Wait()
+	ran := make(map[string]bool)
+	for _, b := range sound {
+		for _, a := range b.seen() {
+			ran[a.id] = ran[a.id] || a.ran
+		}
+	}
+	lost, passed := 0, 0
+	for _, p := range all {
+		for i := range behind {
+			id := p.behindID(i)
+			if !ran[id] {
+				continue
+			}
+			passed++
+			if !p.answered[id] {
+				lost++
+				f.note("%s ran at a sound backend server and got no byte of an answer", id)
+			}
+		}
+	}
+	if passed == 0 {
+		return verdict{}, errCannotRun
+	}
+	return verdict{fmt.Sprintf("%d requests behind long answers ran at a sound backend server, %d of them got no byte of an answer before the connection was closed", passed, lost), lost <= threshold}, nil
 }
 
 // leave makes a backend server leave as the pages say: it reports that it drains, goes on for drain_s and a little
@@ -145,7 +226,7 @@
 	return acknowledged, ok
 }
 
-// sendOrders makes clients of a VM send ten orders a second until end is called, which returns them.
+// sendOrders makes clients of a VM send forty orders a second until end is called, which returns them.
 func (f *fixture) sendOrders(n *node) (end func() []*request) {
 	stop := make(chan struct{})
 	var orders []*request
@@ -157,7 +238,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(100 * time.Millisecond):
+			case <-time.After(25 * time.Millisecond):
 			}
 			r := &request{id: fmt.Sprintf("order-%d", i), method: http.MethodPost, path: "/order/1", body: 1200}
 			orders = append(orders, r)
@@ -196,22 +277,10 @@
 
 // playStaleLeave lets a backend server leave whose latest start has an earlier time than the one before.
 func playStaleLeave(f *fixture) (verdict, error) {
-	entry, err := f.addNode("sidecar-howrah-a-1", "pattern-shop")
-	if err != nil {
-		return verdict{}, err
-	}
-	target, err := f.addNode("sidecar-howrah-a-2", "order-desk")
+	entry, target, err := f.addOrderDesk()
 	if err != nil {
 		return verdict{}, err
 	}
-	f.configure(7, map[string]routeSpec{
-		"r-1": {Host: host, PathPrefix: "/order/", RouteType: "non_idempotent", TimeoutS: 8, TargetLatencyS: 3, Priority: 1, Service: "order-desk", MaxAttempts: 2},
-	}, "pattern-shop", "order-desk")
-	for _, n := range f.nodes {
-		if err := n.awaitReady(10 * time.Second); err != nil {
-			return verdict{}, err
-		}
-	}
 	now := func() int64 { return time.Now().UnixMilli() }
 	ahead := int64(0)
 	if f.trouble {
--- a/review/src-3/client.go
+++ b/review/src-3/client.go
@@ -61,3 +61,54 @@
 	r.status = res.StatusCode
 	n.f.note("%s: %s (%d bytes) is answered %d after %d ms", n.name, r.id, r.body, r.status, time.Since(began).Milliseconds())
 }
+
+// pipelined is a kept connection on which requests are sent behind one with a long answer.
+type pipelined struct {
+	name     string
+	behind   int
+	answered map[string]bool
+}
+
+func (p *pipelined) behindID(i int) string { return fmt.Sprintf("%s-behind-%d", p.name, i) }
+
+func getRequest(path, id string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", path, host, id, deadline.Milliseconds())
+}
+
+// send sends one request, and after its answer the long one and those behind it. It reads answers until the
+// connection ends.
+func (p *pipelined) send(n *node) {
+	p.answered = make(map[string]bool)
+	c, err := net.DialTimeout("tcp", n.traffic, time.Second)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(deadline + 2*time.Second))
+	reader := bufio.NewReader(c)
+	_, _ = io.WriteString(c, getRequest("/record/1", p.name+"-first"))
+	res, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	text := getRequest("/lesson/1", p.name+"-long")
+	for i := range p.behind {
+		text += getRequest("/record/1", p.behindID(i))
+	}
+	_, _ = io.WriteString(c, text)
+	for {
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			n.f.note("%s: connection %s ends: %s", n.name, p.name, err)
+			return
+		}
+		id := res.Header.Get("Request-Id")
+		p.answered[id] = true
+		length, err := io.Copy(io.Discard, res.Body)
+		n.f.note("%s: connection %s gets %d for %s, %d bytes, %v", n.name, p.name, res.StatusCode, id, length, err)
+		if err != nil || id == p.behindID(p.behind-1) {
+			return
+		}
+	}
+}
--- a/review/src-3/kit.go
+++ b/review/src-3/kit.go
@@ -40,6 +40,7 @@
 	trouble bool
 	started time.Time
 	store   *standin.Store
+	late    *lateStore
 	address string
 	nodes   []*node
 	mu      sync.Mutex
@@ -59,8 +60,9 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fixture{dir: dir, trouble: trouble, started: time.Now(), store: standin.NewStore(), address: l.Addr().String(), record: record}
-	go func() { _ = http.Serve(l, f.store) }()
+	store := standin.NewStore()
+	f := &fixture{dir: dir, trouble: trouble, started: time.Now(), store: store, late: &lateStore{inner: store}, address: l.Addr().String(), record: record}
+	go func() { _ = http.Serve(l, f.late) }()
 	f.note("trouble: %t", trouble)
 	return f, nil
 }
@@ -301,7 +303,7 @@
 
 func main() {
 	cases := map[string]func(*fixture) (verdict, error){
-		"gone": playGone, "odd-beat": playOddBeat, "stale-leave": playStaleLeave,
+		"gone": playGone, "behind": playBehind, "late-write": playLateWrite, "odd-entry": playOddEntry, "stale-leave": playStaleLeave,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: kit-3 CASE")
