--- a/review/src-3/backend.go
+++ b/review/src-3/backend.go
@@ -13,7 +13,7 @@
 )
 
 // partPause is the time between the two parts of a long answer.
-const partPause = 1500 * time.Millisecond
+const partPause = 3 * time.Second
 
 // arrival is a request that has reached a backend server.
 type arrival struct {
@@ -40,7 +40,7 @@
 	// quiet is set when the backend server sends no further heartbeats.
 	quiet    bool
 	arrivals []*arrival
-	// first and rest are the lengths of the two parts of an answer, between which 1.5 s pass; with 0 the answer is
+	// first and rest are the lengths of the two parts of an answer, between which partPause passes; with 0 the answer is
 	// a short one.
 	first, rest int
 }
--- a/review/src-3/cases.go
+++ b/review/src-3/cases.go
@@ -284,13 +284,13 @@
 	now := func() int64 { return time.Now().UnixMilli() }
 	ahead := int64(0)
 	if f.trouble {
-		ahead = 2000
+		ahead = 2400
 	}
 	first, err := startBackend(target, "i-1", "order-desk", now()+ahead, orderWork)
 	if err != nil {
 		return verdict{}, err
 	}
-	time.Sleep(beatInterval + 100*time.Millisecond)
+	time.Sleep(beatInterval + 400*time.Millisecond)
 	first.crash()
 	time.Sleep(200 * time.Millisecond)
 	second, err := startBackend(target, "i-1", "order-desk", now(), orderWork)
