--- a/review/src-3/backend.go
+++ b/review/src-3/backend.go
@@ -12,9 +12,6 @@
 	"time"
 )
 
-// partPause is the time between the two parts of a long answer.
-const partPause = 3 * time.Second
-
 // arrival is a request that has reached a backend server.
 type arrival struct {
 	id, caller string
@@ -40,9 +37,8 @@
 	// quiet is set when the backend server sends no further heartbeats.
 	quiet    bool
 	arrivals []*arrival
-	// first and rest are the lengths of the two parts of an answer, between which partPause passes; with 0 the answer is
-	// a short one.
-	first, rest int
+	// answerBytes is the length of an answer; with 0 the answer is a short one.
+	answerBytes int
 }
 
 // startBackend starts a process at the backend server's address of a VM; it announces itself from then on.
@@ -160,15 +156,12 @@
 		return
 	}
 	w.Header().Set("Server-Signature", "sig."+b.instance)
-	if b.first == 0 {
+	if b.answerBytes == 0 {
 		_, _ = io.WriteString(w, "done "+id)
 		return
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(b.first+b.rest))
-	_, _ = io.WriteString(w, strings.Repeat("x", b.first))
-	_ = http.NewResponseController(w).Flush()
-	time.Sleep(partPause)
-	_, _ = io.WriteString(w, strings.Repeat("x", b.rest))
+	w.Header().Set("Content-Length", strconv.Itoa(b.answerBytes))
+	_, _ = io.WriteString(w, strings.Repeat("x", b.answerBytes))
 }
 
 func (b *backend) takeSlot(ctx context.Context) bool {
--- a/review/src-3/kit.go
+++ b/review/src-3/kit.go
@@ -303,7 +303,7 @@
 
 func main() {
 	cases := map[string]func(*fixture) (verdict, error){
-		"gone": playGone, "behind": playBehind, "late-write": playLateWrite, "odd-entry": playOddEntry, "stale-leave": playStaleLeave,
+		"gone": playGone, "stopped": playStopped, "late-write": playLateWrite, "odd-entry": playOddEntry, "stale-leave": playStaleLeave,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: kit-3 CASE")
